--- a/include/eelgrasspin/transport.h
+++ b/include/eelgrasspin/transport.h
@@ -32,6 +32,7 @@
   SlotId slot;
   Key key;
   Epoch epoch;
+  FrontEpoch front_epoch;  ///< Set towards backend servers.
   Duration time_left{0};
   bool repeatable = false;  ///< False: only on a connection just shown to be
                             ///< alive, and sent at most once.
--- a/src/core/effect.h
+++ b/src/core/effect.h
@@ -64,6 +64,7 @@
   SlotId slot;
   Key key;
   Epoch epoch;
+  FrontEpoch front_epoch;
   Duration time_left{0};
   bool repeatable = false;
 };
--- a/src/core/ownership/ownership.h
+++ b/src/core/ownership/ownership.h
@@ -32,6 +32,7 @@
 struct SendCheck {
   SendPermission permission = SendPermission::kGone;
   Epoch epoch;  ///< To be sent with the request, when allowed.
+  FrontEpoch front_epoch;
 };
 
 /// Asked by the request path of the front of `server` just before a request is
