Add the virtual-time world: fakes at the interfaces and checks of the promises

Cause: every promise needs a proof under failure, over the real reducer and without sockets. Change: a small event queue that runs daemons' reducers against a fake store, fake backend servers that obey the grant protocol, cuts, pauses, crashes and lost answers; checks of sole execution, epochs, outcomes and versions. Conclusion: scenarios and properties can be written as soon as the parts land.

--- /dev/null
+++ b/src/scenario/world.cc
@@ -0,0 +1,236 @@
+#include "scenario/world.h"
+
+#include <utility>
+
+#include "scenario/world_p.h"
+
+namespace eelgrasspin::scenario {
+namespace {
+
+constexpr WallTime kWorldEpoch{seconds(1'700'000'000)};
+
+RegionName region_of(const World& world, const ZoneName& zone) {
+  auto it = world.declarations.zones.find(zone);
+  return it == world.declarations.zones.end() ? RegionName()
+                                              : it->second.region;
+}
+
+void tick(World& world, const DaemonName& name, std::uint64_t run) {
+  Daemon& daemon = world.daemons.at(name);
+  if (!daemon.alive || daemon.run != run) return;
+  if (!daemon.paused) deliver(world, name, run, core::Tick{});
+  schedule(world, config::kTickInterval,
+           [name, run](World& w) { tick(w, name, run); });
+}
+
+void lose_open_requests(World& world, Daemon& daemon) {
+  for (const auto& [request, origin] : daemon.origins) {
+    end_attempt(world, origin.daemon, origin.run, origin.request,
+                origin.attempt, AttemptUnknown{Reason::kConnectionLost, false},
+                config::kPingInterval);
+  }
+  for (const auto& [attempt, forward] : daemon.forwards)
+    cancel_forward(world, forward, daemon.state.self.zone);
+  for (const auto& [attempt, server] : daemon.at_servers)
+    server_cancel(world, server, daemon.state.self.name, attempt);
+  daemon.origins.clear();
+  daemon.answers.clear();
+  daemon.serials.clear();
+  daemon.forwards.clear();
+  daemon.at_servers.clear();
+}
+
+}  // namespace
+
+World make_world(Declarations declarations, std::uint64_t seed) {
+  World world;
+  world.random.seed(seed);
+  for (const auto& [name, server] : declarations.servers)
+    world.servers[name].declaration = server;
+  if (!declarations.zones.empty())
+    world.latencies.store_zone = declarations.zones.begin()->first;
+  world.declarations = std::move(declarations);
+  return world;
+}
+
+void schedule(World& world, Duration delay, Action action) {
+  world.queue.push({world.now + delay, world.next_order++, std::move(action)});
+}
+
+void run_until(World& world, Duration until) {
+  while (!world.queue.empty() && world.queue.top().at <= until) {
+    ScheduledAction next = world.queue.top();
+    world.queue.pop();
+    world.now = next.at;
+    next.action(world);
+  }
+  world.now = until;
+}
+
+void run_for(World& world, Duration span) {
+  run_until(world, world.now + span);
+}
+
+Duration latency(const World& world, const ZoneName& from, const ZoneName& to) {
+  if (from == to) return world.latencies.same_zone;
+  return region_of(world, from) == region_of(world, to)
+             ? world.latencies.between_zones
+             : world.latencies.between_regions;
+}
+
+bool reachable(const World& world, const ZoneName& from, const ZoneName& to) {
+  return !world.cut.contains({from, to});
+}
+
+void violate(World& world, const std::string& what) {
+  world.violations.insert(what + " at " + std::to_string(to_ms(world.now)) +
+                          "ms");
+}
+
+Endpoint endpoint_of(const DaemonName& daemon) {
+  return Endpoint("peer:" + daemon.str());
+}
+
+void add_daemon(World& world, const DaemonName& name, const ZoneName& zone,
+                core::Guards guards) {
+  Daemon& daemon = world.daemons[name];
+  daemon.state.guards = guards;
+  daemon.state.self = {.name = name,
+                       .zone = zone,
+                       .region = region_of(world, zone),
+                       .address = endpoint_of(name)};
+  world.vms[name.str()] = VmState::kLive;
+}
+
+void start_daemon(World& world, const DaemonName& name) {
+  Daemon& daemon = world.daemons.at(name);
+  core::State fresh;
+  fresh.guards = daemon.state.guards;
+  fresh.self = daemon.state.self;
+  fresh.self.seeds.clear();
+  for (const auto& [other, unused] : world.daemons) {
+    if (other != name) fresh.self.seeds.push_back(endpoint_of(other));
+  }
+  daemon.state = std::move(fresh);
+  daemon.alive = true;
+  daemon.paused = false;
+  daemon.inbox.clear();
+  daemon.declarations_seen = Version(0);
+  std::uint64_t run = ++daemon.run;
+  world.vms[name.str()] = VmState::kLive;
+  deliver(world, name, run, core::Started{Incarnation(++world.incarnations)});
+  schedule(world, config::kTickInterval,
+           [name, run](World& w) { tick(w, name, run); });
+}
+
+void kill_daemon(World& world, const DaemonName& name) {
+  Daemon& daemon = world.daemons.at(name);
+  if (!daemon.alive) return;
+  daemon.alive = false;
+  ++daemon.run;
+  lose_open_requests(world, daemon);
+  schedule(world, world.vm_list_lag, [name, run = daemon.run](World& w) {
+    if (w.daemons.at(name).run == run) w.vms[name.str()] = VmState::kGone;
+  });
+}
+
+void pause_daemon(World& world, const DaemonName& name) {
+  world.daemons.at(name).paused = true;
+}
+
+void resume_daemon(World& world, const DaemonName& name) {
+  Daemon& daemon = world.daemons.at(name);
+  if (!daemon.paused) return;
+  daemon.paused = false;
+  std::deque<core::Event> inbox = std::move(daemon.inbox);
+  daemon.inbox.clear();
+  for (const core::Event& event : inbox)
+    deliver(world, name, daemon.run, event);
+}
+
+void stop_daemon(World& world, const DaemonName& name) {
+  deliver(world, name, world.daemons.at(name).run, core::StopOrdered{});
+}
+
+Now now_of(const World& world, const Daemon& daemon) {
+  return {TimePoint(world.now + daemon.clock_offset), kWorldEpoch + world.now};
+}
+
+void deliver(World& world, const DaemonName& name, std::uint64_t run,
+             const core::Event& event) {
+  Daemon& daemon = world.daemons.at(name);
+  if (!daemon.alive || daemon.run != run) return;
+  if (daemon.paused) {
+    daemon.inbox.push_back(event);
+    return;
+  }
+  core::Effects effects =
+      core::reduce(daemon.state, event, now_of(world, daemon));
+  check_caches(world, daemon);
+  for (const core::Effect& effect : effects) execute(world, name, effect);
+}
+
+void cut_zones(World& world, const ZoneName& from, const ZoneName& to) {
+  world.cut.insert({from, to});
+}
+
+void isolate_zone(World& world, const ZoneName& zone) {
+  for (const auto& [other, unused] : world.declarations.zones) {
+    if (other == zone) continue;
+    cut_zones(world, zone, other);
+    cut_zones(world, other, zone);
+  }
+  world.cut_from_store.insert(zone);
+}
+
+void heal_network(World& world) {
+  world.cut.clear();
+  world.cut_from_store.clear();
+}
+
+Serial send_request(World& world, const DaemonName& entry, RequestHead head,
+                    bool poison) {
+  Serial serial = world.next_serial++;
+  CallerRequest& request = world.requests[serial];
+  request = {.serial = serial,
+             .head = head,
+             .entry = entry,
+             .sent = world.now,
+             .poison = poison};
+  if (const auto it = world.declarations.services.find(head.service);
+      it != world.declarations.services.end()) {
+    for (const Operation& operation : it->second.operations) {
+      if (operation.method == head.method)
+        request.execution_class = operation.execution_class;
+    }
+  }
+  std::uint64_t run = world.daemons.at(entry).run;
+  schedule(
+      world, world.latencies.clients, [entry, run, serial, head](World& w) {
+        Daemon& daemon = w.daemons.at(entry);
+        if (!daemon.alive || daemon.run != run) return;
+        RequestId id(daemon.next_request++);
+        daemon.serials[id] = serial;
+        deliver(w, entry, run, core::RequestArrived{id, head, FromCaller{}});
+      });
+  return serial;
+}
+
+OperatorCallId send_command(World& world, const DaemonName& name,
+                            const OperatorName& operator_name,
+                            const CommandId& id, Command command) {
+  OperatorCallId call(world.next_operator_call++);
+  std::uint64_t run = world.daemons.at(name).run;
+  deliver(world, name, run,
+          core::CommandReceived{.call = call,
+                                .operator_name = operator_name,
+                                .id = id,
+                                .command = std::move(command)});
+  return call;
+}
+
+bool store_reachable(const World& world, const ZoneName& zone) {
+  return !world.store.down && !world.cut_from_store.contains(zone);
+}
+
+}  // namespace eelgrasspin::scenario
