--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -78,6 +78,14 @@
 
 // Operators.
 inline constexpr Duration kAccountInterval = seconds(5);
+/// A zone whose coordinator has not renewed for this long is passed over by a
+/// closure whose deadline has passed.
+inline constexpr Duration kZoneSilentAfter = seconds(10);
+/// An order whose record is not confirmed by then is answered as unknown.
+inline constexpr Duration kOrderConfirmLimit = seconds(4);
+inline constexpr Duration kFanOutLimit = milliseconds(1500);
+/// Finished commands kept in the store.
+inline constexpr std::size_t kMaxFinishedCommands = 256;
 inline constexpr std::size_t kTimelineEvents = 4096;
 inline constexpr Duration kGracefulStopLimit = seconds(30);
 
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -35,6 +35,9 @@
 /// Latest accounts of a coordinated zone's daemons, with when each was heard.
 struct HeardAccounts {
   TimePoint heard;
+  Incarnation incarnation;
+  Version cache_revision;  ///< Store revision up to which the daemon knows
+                           ///< everything.
   std::map<ServiceName, DaemonAccount> accounts;
 };
 const std::map<DaemonName, HeardAccounts>& heard_accounts(
--- a/src/core/ownership/ownership.cc
+++ b/src/core/ownership/ownership.cc
@@ -41,4 +41,10 @@
   return 0;
 }
 
+std::vector<OwnershipSpan> history(const core::State& /*state*/,
+                                   const ServiceName& /*service*/,
+                                   const ZoneName& /*zone*/) {
+  return {};
+}
+
 }  // namespace eelgrasspin::core::ownership
--- a/src/core/ownership/ownership.h
+++ b/src/core/ownership/ownership.h
@@ -56,6 +56,11 @@
 std::uint64_t owned_units(const core::State& state, const ServiceName& service,
                           const ZoneName& zone);
 
+/// Who owned what, when, as this zone's coordinator knows it.
+std::vector<OwnershipSpan> history(const core::State& state,
+                                   const ServiceName& service,
+                                   const ZoneName& zone);
+
 }  // namespace eelgrasspin::core::ownership
 
 #endif  // EELGRASSPIN_CORE_OWNERSHIP_OWNERSHIP_H_
--- a/src/scenario/world.h
+++ b/src/scenario/world.h
@@ -239,8 +239,8 @@
 void put_declarations(World& world, const Declarations& declarations);
 
 // Callers and operators.
-Serial send_request(World& world, const DaemonName& entry, RequestHead head,
-                    bool poison = false);
+Serial send_request(World& world, const DaemonName& entry,
+                    const RequestHead& head, bool poison = false);
 OperatorCallId send_command(World& world, const DaemonName& daemon,
                             const OperatorName& operator_name,
                             const CommandId& id, Command command);
