--- /dev/null
+++ b/src/config/ini.cc
@@ -0,0 +1,139 @@
+#include "config/ini.h"
+
+#include <ini.h>
+
+#include <cstring>
+
+namespace eelgrasspin::config {
+namespace {
+
+/// inih copies names of values into buffers of 50 bytes.
+constexpr std::size_t kMaxNameBytes = 49;
+constexpr std::string_view kSpaces = " \t\r\n\v\f";
+
+std::string_view trim(std::string_view text) {
+  std::size_t first = text.find_first_not_of(kSpaces);
+  if (first == std::string_view::npos) return {};
+  std::size_t last = text.find_last_not_of(kSpaces);
+  return text.substr(first, last - first + 1);
+}
+
+bool is_comment(std::string_view trimmed) {
+  return trimmed.starts_with(';') || trimmed.starts_with('#');
+}
+
+/// Hands the text to inih line by line, and so knows the line of each value.
+/// Headings of sections are read here, because inih reports no empty section.
+class LineSource {
+ public:
+  LineSource(std::string_view text, const std::string& file, IniText& out)
+      : rest_(text), file_(file), out_(out) {}
+
+  /// fgets() as inih expects it.
+  static char* next(char* buffer, int capacity, void* self) {
+    return static_cast<LineSource*>(self)->next_line(
+        buffer, static_cast<std::size_t>(capacity));
+  }
+
+  static int handle(void* self, const char*, const char* name,
+                    const char* value) {
+    static_cast<LineSource*>(self)->add_value(name, value);
+    return 1;
+  }
+
+  /// Reports the last line if inih could not read it.
+  void finish() { check_value_taken(); }
+
+ private:
+  char* next_line(char* buffer, std::size_t capacity) {
+    check_value_taken();
+    if (rest_.empty()) return nullptr;
+    std::size_t end = rest_.find('\n');
+    std::string_view line = trim(rest_.substr(0, end));
+    rest_ = end == std::string_view::npos ? std::string_view()
+                                          : rest_.substr(end + 1);
+    ++line_;
+    if (line_ == 1 && line.starts_with("\xEF\xBB\xBF")) line.remove_prefix(3);
+    // Blank lines keep inih's own count of lines right.
+    std::string_view given = usable(line, capacity) ? line : "";
+    std::memcpy(buffer, given.data(), given.size());
+    buffer[given.size()] = '\0';
+    return buffer;
+  }
+
+  /// Whether inih is to see the line as a value.
+  bool usable(std::string_view line, std::size_t capacity) {
+    if (line.empty() || is_comment(line)) return false;
+    if (line.find('\0') != std::string_view::npos) {
+      report("a zero byte", "plain text");
+      return false;
+    }
+    if (line.size() + 3 > capacity) {
+      report("line of " + std::to_string(line.size()) + " bytes",
+             "at most " + std::to_string(capacity - 3));
+      return false;
+    }
+    if (line.starts_with('[')) {
+      start_section(line);
+      return false;
+    }
+    std::size_t name_end = line.find_first_of("=:");
+    if (name_end != std::string_view::npos &&
+        trim(line.substr(0, name_end)).size() > kMaxNameBytes) {
+      report("name too long",
+             "at most " + std::to_string(kMaxNameBytes) + " bytes");
+      return false;
+    }
+    value_due_ = true;
+    return true;
+  }
+
+  void start_section(std::string_view line) {
+    std::size_t close = line.find(']');
+    if (close == std::string_view::npos) {
+      return report("heading without ']'", "[section]");
+    }
+    std::string_view after = trim(line.substr(close + 1));
+    if (!after.empty() && !is_comment(after)) {
+      report("text after ']'", "a line of its own");
+    }
+    std::string title(trim(line.substr(1, close - 1)));
+    out_.sections.push_back({std::move(title), line_, {}});
+  }
+
+  void add_value(const char* name, const char* value) {
+    value_due_ = false;
+    if (out_.sections.empty()) {
+      return report("value before any section", "[section] first");
+    }
+    out_.sections.back().values.push_back({name, value, line_});
+  }
+
+  void check_value_taken() {
+    if (value_due_) report("not a value", "name = value");
+    value_due_ = false;
+  }
+
+  void report(std::string message, std::string hint) {
+    out_.findings.push_back(
+        {file_, line_, 0, std::move(message), std::move(hint)});
+  }
+
+  std::string_view rest_;
+  const std::string& file_;
+  IniText& out_;
+  int line_ = 0;
+  bool value_due_ = false;
+};
+
+}  // namespace
+
+IniText read_ini(std::string_view text, const std::string& file) {
+  IniText out;
+  LineSource source(text, file, out);
+  ini_parse_stream(&LineSource::next, &source, &LineSource::handle, &source);
+  source.finish();
+  return out;
+}
+
+}  // namespace eelgrasspin::config
--- /dev/null
+++ b/src/config/ini.h
@@ -0,0 +1,34 @@
+#ifndef EELGRASSPIN_CONFIG_INI_H_
+#define EELGRASSPIN_CONFIG_INI_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "eelgrasspin/result.h"
+
+/// INI text with the line of each section and value, read by inih.
+namespace eelgrasspin::config {
+
+struct IniValue {
+  std::string name;
+  std::string value;
+  int line = 0;
+};
+
+struct IniSection {
+  std::string title;  ///< Between the brackets, without outer spaces.
+  int line = 0;
+  std::vector<IniValue> values;
+};
+
+struct IniText {
+  std::vector<IniSection> sections;
+  std::vector<Finding> findings;  ///< Lines that are not INI.
+};
+
+IniText read_ini(std::string_view text, const std::string& file);
+
+}  // namespace eelgrasspin::config
+
+#endif  // EELGRASSPIN_CONFIG_INI_H_
