--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -65,6 +65,17 @@
 inline constexpr std::uint32_t kRetryBudgetPercent = 10;
 inline constexpr std::uint32_t kMaxAttempts = 4;
 inline constexpr Duration kRetryPause = milliseconds(50);
+/// Retries that a service's budget holds at the start and at most.
+inline constexpr std::uint32_t kRetryBudgetStart = 10;
+inline constexpr std::uint32_t kRetryBudgetMax = 100;
+/// Requests that one entry holds while their keys have no usable owner.
+inline constexpr std::size_t kMaxHeldRequests = 4096;
+/// A forwarded request's deadline is this much before its entry's, so that the
+/// front's own verdict arrives in time.
+inline constexpr Duration kForwardMargin = milliseconds(40);
+/// Retry-After of a request refused because a queue is full.
+inline constexpr Duration kShedRetryAfter = milliseconds(500);
+inline constexpr std::size_t kRefusalSamples = 16;
 inline constexpr std::uint32_t kQuarantineStrikes = 2;
 inline constexpr Duration kQuarantineTime = minutes(10);
 inline constexpr Duration kIntentRetention = minutes(10);
--- /dev/null
+++ b/src/core/request/entry.cc
@@ -0,0 +1,230 @@
+#include "core/request/entry.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/operator/operators.h"
+#include "core/ownership/ownership.h"
+#include "core/request/accounts.h"
+#include "core/request/admission.h"
+#include "core/request/front_queue.h"
+#include "core/request/lifecycle.h"
+#include "core/state.h"
+
+namespace eelgrasspin::core::request {
+namespace {
+
+/// Refusals that another attempt, at the owner of a newer map, may get past.
+bool may_go_again(Reason reason) {
+  switch (reason) {
+    case Reason::kMoved:
+    case Reason::kGrantRefused:
+    case Reason::kOwnerUnreachable:
+    case Reason::kNoOwner:
+    case Reason::kStopping:
+      return true;
+    default:
+      return false;
+  }
+}
+
+void hold(core::State& state, OpenRequest& request, TimePoint try_after) {
+  if (request.stage != Stage::kHeld) ++state.request.held;
+  request.stage = Stage::kHeld;
+  request.try_after = try_after;
+}
+
+Epoch known_epoch(const core::State& state, const OpenRequest& request) {
+  const ServiceRoutes* routes =
+      find_service(state.request.routing, request.head.service);
+  if (routes == nullptr) return Epoch(0);
+  Route route = find_route(*routes, request.slot, request.key);
+  return route.owner == nullptr ? Epoch(0) : route.owner->epoch;
+}
+
+Duration forwarded_time(const OpenRequest& request, Now now) {
+  Duration left = request.deadline - now.mono;
+  return left - std::min<Duration>(config::kForwardMargin, left / 4);
+}
+
+void send_to_front(core::State& state, OpenRequest& request, const Owner& owner,
+                   const FrontAddress& front, Now now, Effects& effects) {
+  --state.request.held;
+  request.stage = Stage::kAtFront;
+  request.server = owner.server;
+  request.attempt = AttemptId(state.request.next_attempt++);
+  request.sent_at = now.mono;
+  ++request.attempts;
+  ++state.counters[Counter::kRequestsForwardedOut];
+  effects.push_back(SendToFront{
+      request.id, request.attempt, front.endpoint, owner.server, request.slot,
+      request.key, owner.epoch, forwarded_time(request, now),
+      request.execution_class != ExecutionClass::kAtMostOnce});
+}
+
+/// A forwarded request is for the front of the server it names, or for nobody.
+void accept_forwarded(core::State& state, OpenRequest& request,
+                      const Route& route, const FrontAddress* front, Now now,
+                      Effects& effects) {
+  bool here = route.owner != nullptr && front != nullptr &&
+              route.owner->server == request.named_server &&
+              front->daemon == state.self.name;
+  if (here) {
+    enqueue(state, request, request.named_server, now, effects);
+    return;
+  }
+  end_refused(
+      state, request,
+      {.reason = Reason::kMoved, .newer_epoch = known_epoch(state, request)},
+      now, effects);
+}
+
+/// Bounds the requests that wait for an owner.
+void keep_held(core::State& state, OpenRequest& request, Now now,
+               Effects& effects) {
+  if (request.last_refusal == Reason::kNone)
+    request.last_refusal = Reason::kNoOwner;
+  request.try_after = now.mono + config::kRetryPause;
+  if (state.request.held <= config::kMaxHeldRequests) return;
+  end_refused(
+      state, request,
+      {.reason = Reason::kNoOwner, .retry_after = config::kShedRetryAfter}, now,
+      effects);
+}
+
+bool may_repeat(const OpenRequest& request, const AttemptUnknown& result,
+                Now now) {
+  return request.from_caller &&
+         request.execution_class != ExecutionClass::kAtMostOnce &&
+         request.attempts < config::kMaxAttempts && !result.connection_died &&
+         result.reason != Reason::kServerFailed && now.mono < request.deadline;
+}
+
+Refusal expiry_of(const OpenRequest& request) {
+  switch (request.stage) {
+    case Stage::kHeld:
+      return {.reason = request.last_refusal};
+    case Stage::kQueued:
+      return {.reason = request.last_refusal == Reason::kNone
+                            ? Reason::kDeadlinePassed
+                            : request.last_refusal};
+    case Stage::kAtServer:
+    case Stage::kAtFront:
+      return {.outcome = Outcome::kUnknown,
+              .reason = Reason::kTimeoutAfterSend};
+  }
+  return {};
+}
+
+}  // namespace
+
+void on_arrived(core::State& state, const RequestArrived& arrived, Now now,
+                Effects& effects) {
+  if (state.request.open.contains(arrived.id)) return;
+  OpenRequest& request = open_request(state, arrived, now);
+  std::optional<Refusal> refusal = check_admission(state, request, now);
+  if (refusal) {
+    end_refused(state, request, *refusal, now, effects);
+    return;
+  }
+  dispatch(state, request, now, effects);
+}
+
+void dispatch(core::State& state, OpenRequest& request, Now now,
+              Effects& effects) {
+  const ServiceRoutes* routes =
+      find_service(state.request.routing, request.head.service);
+  Route route = routes == nullptr
+                    ? Route()
+                    : find_route(*routes, request.slot, request.key);
+  const FrontAddress* front =
+      route.owner == nullptr
+          ? nullptr
+          : find_front(state.request.routing, route.owner->server);
+  if (!request.from_caller) {
+    accept_forwarded(state, request, route, front, now, effects);
+    return;
+  }
+  bool usable = front != nullptr && route.owner->phase == SlotPhase::kOwned;
+  if (!usable) {
+    keep_held(state, request, now, effects);
+  } else if (front->daemon == state.self.name) {
+    enqueue(state, request, route.owner->server, now, effects);
+  } else {
+    send_to_front(state, request, *route.owner, *front, now, effects);
+  }
+}
+
+void dispatch_held(core::State& state, bool routes_changed, Now now,
+                   Effects& effects) {
+  if (state.request.held == 0) return;
+  std::vector<RequestId> due;
+  for (const auto& [id, request] : state.request.open) {
+    if (request.stage != Stage::kHeld) continue;
+    if (routes_changed || now.mono >= request.try_after) due.push_back(id);
+  }
+  for (RequestId id : due) {
+    OpenRequest* request = find_open(state, id);
+    if (request != nullptr && request->stage == Stage::kHeld)
+      dispatch(state, *request, now, effects);
+  }
+}
+
+void on_front_attempt_ended(core::State& state, OpenRequest& request,
+                            const AttemptResult& result, Now now,
+                            Effects& effects) {
+  if (std::holds_alternative<AttemptAnswered>(result)) {
+    end_answered(state, request, request.attempt, now, effects);
+  } else if (const auto* not_run = std::get_if<AttemptNotRun>(&result)) {
+    on_not_run(state, request, *not_run, now, effects);
+  } else {
+    on_unknown(state, request, std::get<AttemptUnknown>(result), now, effects);
+  }
+}
+
+void on_not_run(core::State& state, OpenRequest& request,
+                const AttemptNotRun& result, Now now, Effects& effects) {
+  if (request.from_caller && may_go_again(result.reason)) {
+    request.last_refusal = result.reason;
+    hold(state, request, now.mono + config::kRetryPause);
+    return;
+  }
+  end_refused(state, request,
+              {.reason = result.reason,
+               .retry_after = result.retry_after,
+               .newer_epoch = known_epoch(state, request)},
+              now, effects);
+}
+
+void on_unknown(core::State& state, OpenRequest& request,
+                const AttemptUnknown& result, Now now, Effects& effects) {
+  request.maybe_ran = true;
+  bool repeatable = may_repeat(request, result, now);
+  if (repeatable && take_retry(state, request)) {
+    request.last_refusal = result.reason;
+    hold(state, request, now.mono);
+    return;
+  }
+  Reason reason = result.connection_died ? Reason::kServerFailed
+                  : repeatable           ? Reason::kRetryBudgetSpent
+                                         : result.reason;
+  end_refused(state, request, {.outcome = Outcome::kUnknown, .reason = reason},
+              now, effects);
+}
+
+void expire_requests(core::State& state, Now now, Effects& effects) {
+  std::vector<RequestId> due;
+  for (const auto& [id, request] : state.request.open) {
+    bool waits = request.stage == Stage::kQueued;
+    if (waits && !state.guards.check_queue_deadline) continue;
+    if (now.mono >= request.deadline) due.push_back(id);
+  }
+  for (RequestId id : due) {
+    OpenRequest* request = find_open(state, id);
+    if (request == nullptr) continue;
+    cancel_attempt(state, *request, effects);
+    end_refused(state, *request, expiry_of(*request), now, effects);
+  }
+}
+
+}  // namespace eelgrasspin::core::request
--- /dev/null
+++ b/tests/fixtures.h
@@ -0,0 +1,163 @@
+#ifndef EELGRASSPIN_TESTS_FIXTURES_H_
+#define EELGRASSPIN_TESTS_FIXTURES_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/ownership/ownership.h"
+#include "core/reducer.h"
+
+/// A small deployment for tests of the request path: one service, two zones,
+/// one server and one daemon in each.
+namespace eelgrasspin::fixtures {
+
+inline const ServiceName kService("dispatchbook");
+inline const ZoneName kHere("gongoni");
+inline const ZoneName kThere("marereni");
+inline const ServerName kServerHere("dispatchbook-01");
+inline const ServerName kServerThere("dispatchbook-02");
+inline const DaemonName kDaemonHere("gongoni-1");
+inline const DaemonName kDaemonThere("marereni-1");
+inline const Endpoint kPortHere("127.0.0.1:7001");
+inline const Endpoint kPortThere("127.0.0.1:7002");
+inline constexpr std::uint32_t kSlots = 16;
+
+inline Declarations declarations() {
+  Declarations all;
+  all.zones[kHere] = {kHere, RegionName("kilifi")};
+  all.zones[kThere] = {kThere, RegionName("kilifi")};
+  ServiceDeclaration service{.name = kService, .key_slots = kSlots};
+  service.deadline = milliseconds(1000);
+  service.execution_limit = milliseconds(200);
+  service.queue_limit = 8;
+  service.operations = {
+      {"read", "GET", "/dispatches/{key}", ExecutionClass::kRead},
+      {"note", "PUT", "/dispatches/{key}/note", ExecutionClass::kIdempotent},
+      {"lodge", "POST", "/dispatches/{key}", ExecutionClass::kAtMostOnce}};
+  all.services[kService] = service;
+  all.servers[kServerHere] = {.name = kServerHere,
+                              .service = kService,
+                              .zone = kHere,
+                              .address = Endpoint("127.0.0.1:8001")};
+  all.servers[kServerThere] = {.name = kServerThere,
+                               .service = kService,
+                               .zone = kThere,
+                               .address = Endpoint("127.0.0.1:8002")};
+  return all;
+}
+
+/// A key that falls into a slot below (`here`) or above the middle.
+inline Key key_in(bool here, int nth = 0) {
+  for (int i = 0;; ++i) {
+    Key key("lorry-" + std::to_string(i));
+    bool low = core::ownership::slot_of(key, kSlots).value < kSlots / 2;
+    if (low == here && nth-- == 0) return key;
+  }
+}
+
+inline RequestHead head(const std::string& method, const Key& key,
+                        const std::string& idempotency_key = "") {
+  RequestHead head;
+  head.service = kService;
+  head.method = method;
+  head.path = "/dispatches/" + key.str();
+  head.caller = CallerName("clerk");
+  head.idempotency_key = idempotency_key;
+  return head;
+}
+
+/// Effects of one type, in order.
+template <class E>
+std::vector<E> only(const core::Effects& effects) {
+  std::vector<E> found;
+  for (const core::Effect& effect : effects) {
+    if (const auto* match = std::get_if<E>(&effect)) found.push_back(*match);
+  }
+  return found;
+}
+
+/// The daemon of the first zone on virtual time, with a cache made by hand.
+class Daemon {
+ public:
+  Daemon() {
+    state.self = {.name = kDaemonHere,
+                  .zone = kHere,
+                  .region = RegionName("kilifi"),
+                  .address = kPortHere,
+                  .seeds = {},
+                  .incarnation = Incarnation(1)};
+    put(declarations_key(), DeclarationsRecord{.declarations = declarations()});
+    put_zone_map();
+    put_owner(kHere, kServerHere, 1);
+    put_owner(kThere, kServerThere, 1);
+    put_front(kHere, kServerHere, kDaemonHere, kPortHere);
+    put_front(kThere, kServerThere, kDaemonThere, kPortThere);
+  }
+
+  core::Effects apply(const core::Event& event) {
+    return core::reduce(state, event, now());
+  }
+
+  /// Lets time pass in ticks; all effects together.
+  core::Effects run(Duration span) {
+    core::Effects all;
+    for (Duration end = elapsed + span; elapsed < end;) {
+      elapsed += config::kTickInterval;
+      core::Effects effects = apply(core::Tick{});
+      all.insert(all.end(), effects.begin(), effects.end());
+    }
+    return all;
+  }
+
+  core::Effects arrive(std::uint64_t id, RequestHead request_head,
+                       RequestOrigin origin = FromCaller{}) {
+    return apply(core::RequestArrived{RequestId(id), std::move(request_head),
+                                      std::move(origin)});
+  }
+
+  core::Effects end(RequestId id, AttemptId attempt, AttemptResult result) {
+    return apply(core::AttemptEnded{id, attempt, result});
+  }
+
+  void put(const StoreKey& key, Record record) {
+    core::apply(state.cache, {key, Version(++version), std::move(record)});
+  }
+
+  void put_zone_map() {
+    ZoneMap map{.service = kService, .zones = {kHere, kThere}};
+    for (std::uint32_t i = 0; i < kSlots; ++i) {
+      map.slots.push_back(i < kSlots / 2 ? 0 : 1);
+      map.epochs.push_back(1);
+    }
+    put(zone_map_key(kService), map);
+  }
+
+  /// Gives the zone's half of the slots to `server`.
+  void put_owner(const ZoneName& zone, const ServerName& server,
+                 std::uint64_t epoch, SlotPhase phase = SlotPhase::kOwned) {
+    OwnershipMap map{.service = kService, .zone = zone};
+    std::uint32_t first = zone == kHere ? 0 : kSlots / 2;
+    for (std::uint32_t i = first; i < first + kSlots / 2; ++i)
+      map.slots[SlotId(i)] = {server, Epoch(epoch), phase, {}, {}};
+    put(ownership_map_key(kService, zone), map);
+  }
+
+  void put_front(const ZoneName& zone, const ServerName& server,
+                 const DaemonName& daemon, const Endpoint& port) {
+    ZoneRoster roster{.zone = zone};
+    roster.fronts[server] = {daemon, port, Incarnation(1), FrontEpoch(1),
+                             false};
+    put(roster_key(zone), roster);
+  }
+
+  Now now() const { return {TimePoint(elapsed), WallTime(elapsed)}; }
+
+  core::State state;
+  Duration elapsed = seconds(1);
+  std::uint64_t version = 0;
+};
+
+}  // namespace eelgrasspin::fixtures
+
+#endif  // EELGRASSPIN_TESTS_FIXTURES_H_
--- /dev/null
+++ b/tests/request_entry_test.cc
@@ -0,0 +1,218 @@
+#include <gtest/gtest.h>
+
+#include "core/request/operations.h"
+#include "core/request/requests.h"
+#include "tests/fixtures.h"
+
+namespace eelgrasspin {
+namespace {
+
+using core::CancelAttempt;
+using core::Effects;
+using core::RefuseRequest;
+using core::RelayAnswer;
+using core::SendToFront;
+using fixtures::Daemon;
+using fixtures::head;
+using fixtures::kDaemonThere;
+using fixtures::key_in;
+using fixtures::kPortThere;
+using fixtures::kServerThere;
+using fixtures::kService;
+using fixtures::kThere;
+using fixtures::only;
+
+const Key kFarKey = key_in(false);
+
+RefuseRequest refused(const Effects& effects) {
+  auto found = only<RefuseRequest>(effects);
+  EXPECT_EQ(found.size(), 1U);
+  return found.empty() ? RefuseRequest{} : found[0];
+}
+
+SendToFront forwarded(const Effects& effects) {
+  auto found = only<SendToFront>(effects);
+  EXPECT_EQ(found.size(), 1U);
+  return found.empty() ? SendToFront{} : found[0];
+}
+
+TEST(Operations, MatchesPatternsAndDecodesTheKey) {
+  std::vector<core::request::OperationPattern> patterns;
+  Declarations all = fixtures::declarations();
+  for (const Operation& operation : all.services.at(kService).operations)
+    patterns.push_back(core::request::compile_operation(operation));
+  auto key_of = [&](const char* method, const char* path) {
+    auto match = core::request::match_operation(patterns, method, path);
+    return match ? match->operation->name + ":" + match->key.str() : "none";
+  };
+  EXPECT_EQ(key_of("GET", "/dispatches/a%2Db?since=1"), "read:a-b");
+  EXPECT_EQ(key_of("PUT", "/dispatches/a-b/note"), "note:a-b");
+  EXPECT_EQ(key_of("POST", "/dispatches/a-b"), "lodge:a-b");
+  for (const char* path :
+       {"/dispatches", "/dispatches/", "/dispatches/a/", "dispatches/a",
+        "/dispatches/%2", "/dispatches/%zz", "/dispatches/%00",
+        "/dispatches/..", "//dispatches/a", "/dispatches/a/note/b"})
+    EXPECT_EQ(key_of("GET", path), "none") << path;
+}
+
+TEST(Entry, ForwardsToTheFrontAndRelaysItsAnswer) {
+  Daemon daemon;
+  SendToFront sent = forwarded(daemon.arrive(1, head("GET", kFarKey)));
+  EXPECT_EQ(sent.front, kPortThere);
+  EXPECT_EQ(sent.server, kServerThere);
+  EXPECT_TRUE(sent.repeatable);
+  EXPECT_LT(sent.time_left, milliseconds(1000));
+  Effects ended = daemon.end(sent.request, sent.attempt, AttemptAnswered{});
+  EXPECT_EQ(only<RelayAnswer>(ended).size(), 1U);
+  Effects late = daemon.end(sent.request, sent.attempt, AttemptAnswered{});
+  EXPECT_TRUE(only<RelayAnswer>(late).empty());
+  EXPECT_EQ(core::request::open_requests(daemon.state), 0U);
+}
+
+TEST(Entry, RefusesBadRequestsAsNotRun) {
+  Daemon daemon;
+  std::uint64_t id = 0;
+  auto reason_of = [&](const RequestHead& bad) {
+    RefuseRequest refusal = refused(daemon.arrive(++id, bad));
+    EXPECT_EQ(refusal.outcome, Outcome::kNotRun);
+    return refusal.reason;
+  };
+  RequestHead bad = head("GET", kFarKey);
+  bad.service = ServiceName("nothing");
+  EXPECT_EQ(reason_of(bad), Reason::kUnknownService);
+  EXPECT_EQ(reason_of(head("DELETE", kFarKey)), Reason::kUnknownOperation);
+  EXPECT_EQ(reason_of(head("POST", kFarKey)), Reason::kIdempotencyKeyMissing);
+  EXPECT_EQ(reason_of(head("POST", kFarKey, std::string(129, 'k'))),
+            Reason::kIdempotencyKeyInvalid);
+  EXPECT_EQ(reason_of(head("POST", kFarKey, "a\nb")),
+            Reason::kIdempotencyKeyInvalid);
+  bad = head("GET", kFarKey);
+  bad.time_left = seconds(301);
+  EXPECT_EQ(reason_of(bad), Reason::kBadRequest);
+  bad.time_left = seconds(-1);
+  EXPECT_EQ(reason_of(bad), Reason::kBadRequest);
+  bad = head("GET", kFarKey);
+  bad.hops = config::kMaxHops + 1;
+  EXPECT_EQ(reason_of(bad), Reason::kHopLimit);
+  bad = head("GET", kFarKey);
+  bad.body_bytes = config::kMaxBodyBytes + 1;
+  EXPECT_EQ(reason_of(bad), Reason::kBodyTooLarge);
+}
+
+TEST(Entry, SendsAgainWithProofAndFollowsANewerMap) {
+  Daemon daemon;
+  SendToFront sent = forwarded(daemon.arrive(1, head("POST", kFarKey, "k1")));
+  EXPECT_FALSE(sent.repeatable);
+  Effects ended = daemon.end(sent.request, sent.attempt,
+                             AttemptNotRun{.reason = Reason::kMoved});
+  EXPECT_TRUE(only<RefuseRequest>(ended).empty());
+  daemon.put_front(kThere, kServerThere, DaemonName("marereni-2"),
+                   Endpoint("127.0.0.1:7003"));
+  SendToFront again = forwarded(daemon.run(milliseconds(20)));
+  EXPECT_EQ(again.front, Endpoint("127.0.0.1:7003"));
+  EXPECT_NE(again.attempt, sent.attempt);
+}
+
+TEST(Entry, NeverSendsAtMostOnceAgainWithoutProof) {
+  Daemon daemon;
+  SendToFront sent = forwarded(daemon.arrive(1, head("POST", kFarKey, "k1")));
+  RefuseRequest end =
+      refused(daemon.end(sent.request, sent.attempt,
+                         AttemptUnknown{.reason = Reason::kConnectionLost}));
+  EXPECT_EQ(end.outcome, Outcome::kUnknown);
+  EXPECT_TRUE(only<SendToFront>(daemon.run(seconds(2))).empty());
+}
+
+TEST(Entry, ReadsGoAgainAndAreNeverToldNotRunAfterwards) {
+  Daemon daemon;
+  SendToFront sent = forwarded(daemon.arrive(1, head("GET", kFarKey)));
+  daemon.end(sent.request, sent.attempt,
+             AttemptUnknown{.reason = Reason::kConnectionLost});
+  SendToFront again = forwarded(daemon.run(milliseconds(20)));
+  daemon.end(again.request, again.attempt,
+             AttemptNotRun{.reason = Reason::kOwnerUnreachable});
+  daemon.put_owner(kThere, kServerThere, 2, SlotPhase::kMoving);
+  RefuseRequest end = refused(daemon.run(seconds(2)));
+  EXPECT_EQ(end.outcome, Outcome::kUnknown);
+}
+
+TEST(Entry, RetriesStopAtTheBudget) {
+  Daemon daemon;
+  std::uint64_t sends = 0;
+  constexpr std::uint64_t kRequests = 1000;
+  for (std::uint64_t id = 1; id <= kRequests; ++id) {
+    Effects effects = daemon.arrive(id, head("GET", kFarKey));
+    for (int turn = 0; turn < 5; ++turn) {
+      for (const SendToFront& sent : only<SendToFront>(effects)) {
+        ++sends;
+        daemon.end(sent.request, sent.attempt,
+                   AttemptUnknown{.reason = Reason::kConnectionLost});
+      }
+      effects = daemon.run(milliseconds(20));
+    }
+  }
+  EXPECT_LE(sends - kRequests, kRequests / 10 + config::kRetryBudgetStart);
+  EXPECT_GE(sends - kRequests, kRequests / 10 - 1);
+}
+
+TEST(Entry, HoldsThroughAMoveAndRefusesAtTheDeadline) {
+  Daemon daemon;
+  daemon.put_owner(kThere, kServerThere, 2, SlotPhase::kMoving);
+  EXPECT_TRUE(
+      only<SendToFront>(daemon.arrive(1, head("GET", kFarKey))).empty());
+  daemon.run(milliseconds(300));
+  daemon.put_owner(kThere, kServerThere, 3);
+  EXPECT_EQ(forwarded(daemon.run(milliseconds(20))).epoch, Epoch(3));
+  daemon.put_owner(kThere, kServerThere, 4, SlotPhase::kUnassigned);
+  daemon.arrive(2, head("GET", kFarKey));
+  Effects effects = daemon.run(milliseconds(1100));
+  std::vector<RefuseRequest> ends = only<RefuseRequest>(effects);
+  ASSERT_EQ(ends.size(), 2U);
+  EXPECT_EQ(ends[0].reason, Reason::kTimeoutAfterSend);
+  EXPECT_EQ(ends[0].outcome, Outcome::kUnknown);
+  EXPECT_EQ(ends[1].reason, Reason::kNoOwner);
+  EXPECT_EQ(ends[1].outcome, Outcome::kNotRun);
+  EXPECT_EQ(only<CancelAttempt>(effects).size(), 1U);
+}
+
+TEST(Entry, BoundsHeldRequests) {
+  Daemon daemon;
+  daemon.put_owner(kThere, kServerThere, 2, SlotPhase::kUnassigned);
+  std::size_t refusals = 0;
+  for (std::uint64_t id = 1; id <= config::kMaxHeldRequests + 5; ++id)
+    refusals +=
+        only<RefuseRequest>(daemon.arrive(id, head("GET", kFarKey))).size();
+  EXPECT_EQ(refusals, 5U);
+}
+
+TEST(Entry, RefusesAForwardedRequestThatIsNotForItsServers) {
+  Daemon daemon;
+  ForwardedFrom from{kDaemonThere, kServerThere, SlotId(9), Epoch(1)};
+  RefuseRequest end = refused(daemon.arrive(1, head("GET", kFarKey), from));
+  EXPECT_EQ(end.outcome, Outcome::kNotRun);
+  EXPECT_EQ(end.reason, Reason::kMoved);
+  EXPECT_EQ(end.newer_epoch, Epoch(1));
+}
+
+TEST(Entry, CountsEachCallersRequestOnce) {
+  Daemon daemon;
+  SendToFront first = forwarded(daemon.arrive(1, head("GET", kFarKey)));
+  daemon.arrive(2, head("GET", kFarKey));
+  daemon.arrive(3, head("DELETE", kFarKey));
+  daemon.end(first.request, first.attempt, AttemptAnswered{});
+  daemon.apply(core::RequestCancelled{RequestId(2)});
+  daemon.arrive(4, head("GET", kFarKey));
+  DaemonAccount account =
+      core::request::accounts(daemon.state, daemon.now()).at(kService);
+  std::uint64_t ended = 0;
+  for (const auto& reasons : account.counts.by_reason) {
+    for (const auto& [reason, count] : reasons) ended += count;
+  }
+  EXPECT_EQ(account.counts.admitted, 4U);
+  EXPECT_EQ(account.counts.in_flight, 1U);
+  EXPECT_EQ(ended, 3U);
+  EXPECT_EQ(account.samples.size(), 2U);
+}
+
+}  // namespace
+}  // namespace eelgrasspin
