--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -27,6 +27,11 @@
 /// Extra wait before a daemon of another zone of the region stands for an empty
 /// zone's coordinator.
 inline constexpr Duration kForeignCandidateDelay = milliseconds(3000);
+/// Wait between the claims of two candidates of a zone, by their rank.
+inline constexpr Duration kClaimStagger = milliseconds(50);
+/// Candidates of a zone that read its lease at the full rate; later ranks read
+/// less often.
+inline constexpr std::uint32_t kLeaseReadersAtFullRate = 4;
 
 // Membership inside a zone.
 inline constexpr Duration kHeartbeatInterval = milliseconds(500);
@@ -34,6 +39,16 @@
 /// A front that hears neither the store nor any other daemon of its roster
 /// stops renewing after this.
 inline constexpr Duration kLoneFrontAfter = milliseconds(3000);
+/// From the last promise not to answer a lost front until its grants count as
+/// lapsed: the lone-front wait, the term and an allowance for clock rates.
+inline constexpr Duration kLoneFrontProof = milliseconds(5200);
+/// Roster members that a daemon exchanges hellos with, half on each side of it
+/// in the order of names.
+inline constexpr std::uint32_t kHelloNeighbours = 4;
+/// Silence after which a daemon forgets another one.
+inline constexpr Duration kPeerRetention = minutes(2);
+/// Rounds of heartbeats whose sending times are kept.
+inline constexpr std::size_t kHeartbeatRounds = 16;
 
 // Grants.
 inline constexpr Duration kGrantTerm = milliseconds(2000);
@@ -44,6 +59,13 @@
 inline constexpr Duration kStoreTimeout = milliseconds(1000);
 inline constexpr Duration kStoreRetryInterval = milliseconds(250);
 inline constexpr Duration kStoreWatchTimeout = seconds(20);
+/// Silence of the store after which it counts as not heard.
+inline constexpr Duration kStoreSilence = milliseconds(2500);
+/// Least time between two watches of a coordinator, unless it wrote itself.
+inline constexpr Duration kWatchPause = milliseconds(250);
+/// Time between two full lists of a daemon that no coordinator relays to.
+inline constexpr Duration kUnrelayedListInterval = seconds(3);
+inline constexpr std::size_t kRelayEntries = 64;
 inline constexpr std::size_t kStoreValueMaxBytes = 1'000'000;
 inline constexpr Duration kVmListInterval = seconds(5);
 
--- a/include/eelgrasspin/peer_message.h
+++ b/include/eelgrasspin/peer_message.h
@@ -67,8 +67,8 @@
   Version cache_revision;       ///< Highest store revision seen without a gap.
   bool stopping = false;        ///< Give its roles to others.
   bool hears_store = false;
-  std::vector<DaemonName>
-      silent;  ///< Roster members it has not heard for kDaemonLostAfter.
+  /// Lost members of its roster; it answers none of them any more.
+  std::vector<DaemonName> silent;
   std::vector<FrontReport> fronts;
   std::map<ServiceName, DaemonAccount> accounts;
 
@@ -111,6 +111,9 @@
   DaemonName daemon;
   ZoneName zone;
   Incarnation incarnation;
+  std::uint64_t round = 0;  ///< Of the sender.
+  std::uint64_t echo = 0;   ///< Newest round received from the receiver; 0:
+                            ///< none, or the sender may not vouch for it.
 
   bool operator==(const PeerHello&) const = default;
 };
--- a/include/eelgrasspin/records.h
+++ b/include/eelgrasspin/records.h
@@ -36,10 +36,22 @@
   DaemonName daemon;
   Endpoint address;
   Incarnation incarnation;
+  /// It has shown that it knows a roster on which it is not alone, so it obeys
+  /// the lone-front rule.
+  bool acknowledged = false;
 
   bool operator==(const RosterMember&) const = default;
 };
 
+/// An earlier front of a backend server that is not known to have stopped.
+struct FrontPredecessor {
+  DaemonName daemon;
+  Incarnation incarnation;
+  FrontEpoch epoch;
+
+  bool operator==(const FrontPredecessor&) const = default;
+};
+
 /// Which daemon is the front of a backend server.
 struct FrontAssignment {
   DaemonName daemon;
@@ -49,6 +61,7 @@
   /// The earlier front is not yet known to have stopped; the new one must not
   /// send to a server that does not check.
   bool awaiting_predecessor = false;
+  std::vector<FrontPredecessor> predecessors;
 
   bool operator==(const FrontAssignment&) const = default;
 };
@@ -62,6 +75,8 @@
   TermEpoch coordinator_epoch;
   std::uint64_t write_id = 0;  ///< Of the last write; settles a lost answer.
   std::vector<RosterMember> members;
+  /// Removed for silence and not known to have stopped.
+  std::vector<RosterMember> lost;
   std::map<ServerName, FrontAssignment> fronts;
   std::map<ServerName, ServerStatus>
       statuses;         ///< Servers not listed are active.
@@ -373,6 +388,8 @@
 StoreKey declarations_key();
 StoreKey coordinator_lease_key(const ZoneName& zone);
 StoreKey roster_key(const ZoneName& zone);
+/// Prefix of a zone's lease and roster.
+StoreKey zone_prefix(const ZoneName& zone);
 StoreKey zone_map_key(const ServiceName& service);
 StoreKey ownership_map_key(const ServiceName& service, const ZoneName& zone);
 StoreKey ownership_history_key(const ServiceName& service,
--- a/src/core/cache.cc
+++ b/src/core/cache.cc
@@ -4,19 +4,24 @@
 
 Applied apply(Cache& cache, const StoreEntry& entry) {
   StoreEntry& known = cache.entries[entry.key];
-  if (entry.version <= known.version) return Applied::kNotNewer;
   known.key = entry.key;
+  if (entry.version <= known.version) return Applied::kNotNewer;
   known.version = entry.version;
   ++cache.generation;
-  if (std::holds_alternative<DamagedRecord>(entry.record))
+  if (std::holds_alternative<DamagedRecord>(entry.record)) {
+    bool absent = std::holds_alternative<std::monostate>(known.record);
+    if (absent) known.record = entry.record;
     return Applied::kDamaged;
+  }
   known.record = entry.record;
   return Applied::kNewer;
 }
 
 Version version_of(const Cache& cache, const StoreKey& key) {
   auto it = cache.entries.find(key);
-  return it == cache.entries.end() ? Version(0) : it->second.version;
+  bool absent = it == cache.entries.end() ||
+                std::holds_alternative<std::monostate>(it->second.record);
+  return absent ? Version(0) : it->second.version;
 }
 
 const Declarations* declarations(const Cache& cache) {
--- /dev/null
+++ b/src/core/membership/losses.cc
@@ -0,0 +1,106 @@
+#include "core/membership/losses.h"
+
+#include <algorithm>
+
+#include "core/membership/liveness.h"
+#include "core/membership/vm_watch.h"
+#include "core/membership/zone_lease.h"
+
+namespace eelgrasspin::core::membership {
+namespace {
+
+const ZoneWatch* zone_watch(const core::State& state, const ZoneName& zone) {
+  auto it = state.membership.zones.find(zone);
+  return it == state.membership.zones.end() ? nullptr : &it->second;
+}
+
+void collect_promises(const core::State& state, const DaemonName& lost,
+                      LossWatch& loss, Now now) {
+  for (const auto& [name, other] : state.membership.peers) {
+    if (!other.heartbeat || other.heartbeat->cache_revision < loss.version)
+      continue;
+    const std::vector<DaemonName>& silent = other.heartbeat->silent;
+    bool promises =
+        std::find(silent.begin(), silent.end(), lost) != silent.end();
+    if (promises) loss.promised.emplace(name, now.mono);
+  }
+}
+
+/// When the last of the others promised; none while one has not.
+std::optional<TimePoint> last_promise(const core::State& state,
+                                      const ZoneRoster& known,
+                                      const LossWatch& loss) {
+  TimePoint last = loss.noted;
+  for (const RosterMember& member : known.members) {
+    if (member.daemon == state.self.name) continue;
+    auto promise = loss.promised.find(member.daemon);
+    if (promise == loss.promised.end()) return std::nullopt;
+    last = std::max(last, promise->second);
+  }
+  return last;
+}
+
+}  // namespace
+
+bool is_silent(const core::State& state, const ZoneName& zone,
+               const RosterMember& member, Now now) {
+  const ZoneLease* lease = observed_lease(state, zone);
+  const Peer* known = peer(state, member.daemon);
+  TimePoint from = state.membership.resumed;
+  bool heard = known != nullptr && (known->incarnation == member.incarnation ||
+                                    known->incarnation.value == 0);
+  if (heard) from = std::max(from, known->heard);
+  bool stood_before =
+      heard && lease != nullptr && member.daemon == lease->earlier_holder;
+  bool known_gone = daemon_vm_gone(state, member.daemon);
+  if (lease != nullptr && !stood_before && !known_gone)
+    from = std::max(from, lease->since);
+  return now.mono - from > config::kDaemonLostAfter;
+}
+
+void watch_losses(core::State& state, const ZoneName& zone, Now now) {
+  ZoneWatch& watch = state.membership.zones[zone];
+  const ZoneRoster* known = roster(state.cache, zone);
+  if (known == nullptr) return;
+  std::erase_if(watch.losses, [&](const auto& entry) {
+    const RosterMember* lost = find_member(known->lost, entry.first);
+    return lost == nullptr || lost->incarnation != entry.second.incarnation;
+  });
+  for (const RosterMember& lost : known->lost) {
+    LossWatch fresh{.incarnation = lost.incarnation,
+                    .version = version_of(state.cache, roster_key(zone)),
+                    .noted = now.mono};
+    LossWatch& loss = watch.losses.emplace(lost.daemon, fresh).first->second;
+    collect_promises(state, lost.daemon, loss, now);
+  }
+}
+
+bool has_ended(const core::State& state, const ZoneName& zone,
+               const DaemonName& daemon, Incarnation incarnation) {
+  if (daemon_vm_gone(state, daemon)) return true;
+  const ZoneWatch* watch = zone_watch(state, zone);
+  if (watch != nullptr && watch->fenced_daemons.contains(daemon)) return true;
+  const ZoneRoster* known = roster(state.cache, zone);
+  if (known == nullptr) return false;
+  const RosterMember* present = find_member(known->members, daemon);
+  bool restarted = present != nullptr && present->incarnation != incarnation;
+  return restarted || (known->fenced && present == nullptr);
+}
+
+bool lone_front_stopped(const core::State& state, const ZoneName& zone,
+                        const DaemonName& daemon, Incarnation incarnation,
+                        Now now) {
+  const ZoneRoster* known = roster(state.cache, zone);
+  const ZoneWatch* watch = zone_watch(state, zone);
+  if (known == nullptr || watch == nullptr) return false;
+  const RosterMember* lost = find_member(known->lost, daemon);
+  auto loss = watch->losses.find(daemon);
+  if (lost == nullptr || loss == watch->losses.end()) return false;
+  bool bound = lost->incarnation == incarnation && lost->acknowledged;
+  bool another_lost = known->lost.size() > 1;
+  if (!bound || another_lost) return false;
+  std::optional<TimePoint> last = last_promise(state, *known, loss->second);
+  return last && now.mono - *last >= config::kLoneFrontProof;
+}
+
+}  // namespace eelgrasspin::core::membership
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -1,51 +1,116 @@
 #include "core/membership/membership.h"
 
+#include <algorithm>
+
+#include "core/membership/liveness.h"
+#include "core/membership/roster.h"
+#include "core/membership/store_sync.h"
+#include "core/membership/vm_watch.h"
+#include "core/membership/zone_lease.h"
 #include "core/state.h"
 
 namespace eelgrasspin::core::membership {
+namespace {
+
+bool holds(const ZoneLease& lease, Now now) {
+  return lease.held && !lease.releasing && now.mono < lease.valid_until;
+}
+
+/// Time up to which the store, the coordinator or another member of the roster
+/// is known to count on this daemon.
+TimePoint latest_evidence(const core::State& state, const ZoneRoster& known) {
+  TimePoint latest;
+  const ZoneLease* lease = observed_lease(state, known.zone);
+  if (lease != nullptr && lease->evidence) latest = *lease->evidence;
+  for (const RosterMember& member : known.members) {
+    const Peer* other = peer(state, member.daemon);
+    if (other != nullptr && other->echo_sent)
+      latest = std::max(latest, *other->echo_sent);
+  }
+  return latest;
+}
+
+bool is_alone_on(const core::State& state, const ZoneRoster& known, Now now) {
+  const RosterMember* own = find_member(known.members, state.self.name);
+  bool bound = own != nullptr && own->incarnation == state.self.incarnation &&
+               known.members.size() > 1;
+  return bound &&
+         now.mono - latest_evidence(state, known) > config::kLoneFrontAfter;
+}
 
-void step(core::State& /*state*/, const Event& /*event*/, Now /*now*/,
-          Effects& /*effects*/) {}
+}  // namespace
 
-std::vector<ZoneName> coordinated_zones(const core::State& /*state*/,
-                                        Now /*now*/) {
-  return {};
+void step(core::State& state, const Event& event, Now now, Effects& effects) {
+  if (std::holds_alternative<Started>(event) || state.paused_before)
+    state.membership.resumed = now.mono;
+  step_sync(state, event, now, effects);
+  step_leases(state, event, now, effects);
+  step_liveness(state, event, now, effects);
+  step_vms(state, event, now, effects);
+  step_rosters(state, event, now, effects);
 }
 
-bool coordinates(const core::State& /*state*/, const ZoneName& /*zone*/,
-                 Now /*now*/) {
-  return false;
+std::vector<ZoneName> coordinated_zones(const core::State& state, Now now) {
+  std::vector<ZoneName> zones;
+  for (const auto& [zone, lease] : state.membership.leases) {
+    if (holds(lease, now)) zones.push_back(zone);
+  }
+  return zones;
 }
 
-TermEpoch coordinator_epoch(const core::State& /*state*/,
-                            const ZoneName& /*zone*/) {
-  return TermEpoch(0);
+bool coordinates(const core::State& state, const ZoneName& zone, Now now) {
+  const ZoneLease* lease = observed_lease(state, zone);
+  return lease != nullptr && holds(*lease, now);
 }
 
-Endpoint coordinator_address(const core::State& /*state*/,
-                             const ZoneName& /*zone*/) {
-  return Endpoint();
+TermEpoch coordinator_epoch(const core::State& state, const ZoneName& zone) {
+  const ZoneLease* lease = observed_lease(state, zone);
+  return lease != nullptr && lease->held ? lease->epoch : TermEpoch(0);
+}
+
+Endpoint coordinator_address(const core::State& state, const ZoneName& zone) {
+  const CoordinatorLease* lease = coordinator_lease(state.cache, zone);
+  return lease == nullptr || lease->released ? Endpoint() : lease->address;
 }
 
 const std::map<ServerName, FrontReport>& front_reports(
-    const core::State& /*state*/) {
-  static const std::map<ServerName, FrontReport> kNone;
-  return kNone;
+    const core::State& state) {
+  return state.membership.front_reports;
 }
 
 const std::map<DaemonName, HeardAccounts>& heard_accounts(
-    const core::State& /*state*/) {
-  static const std::map<DaemonName, HeardAccounts> kNone;
-  return kNone;
+    const core::State& state) {
+  return state.membership.accounts;
+}
+
+bool hears_store(const core::State& state, Now now) {
+  const StoreSync& sync = state.membership.sync;
+  return sync.heard && now.mono - *sync.heard <= config::kStoreSilence;
 }
 
-bool hears_store(const core::State& /*state*/, Now /*now*/) { return false; }
+bool may_renew_grants(const core::State& state, Now now) {
+  bool alone = false;
+  for_each_prefixed(
+      state.cache, StoreKey("live/zone/"), [&](const StoreEntry& entry) {
+        const auto* known = std::get_if<ZoneRoster>(&entry.record);
+        alone = alone || (known != nullptr && is_alone_on(state, *known, now));
+      });
+  return !alone;
+}
 
-bool may_renew_grants(const core::State& /*state*/, Now /*now*/) {
-  return true;
+void set_server_status(core::State& state, const ServerName& server,
+                       ServerStatus status) {
+  state.membership.wanted_statuses[server] = status;
 }
 
-void set_server_status(core::State& /*state*/, const ServerName& /*server*/,
-                       ServerStatus /*status*/) {}
+void fence_zone(core::State& state, const ZoneName& zone) {
+  auto watch = state.membership.zones.find(zone);
+  if (watch != state.membership.zones.end()) watch->second.fence_ordered = true;
+}
+
+void fence_daemon(core::State& state, const DaemonName& daemon) {
+  for (auto& [zone, watch] : state.membership.zones)
+    watch.fenced_daemons.insert(daemon);
+}
 
 }  // namespace eelgrasspin::core::membership
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -50,6 +50,11 @@
 void set_server_status(core::State& state, const ServerName& server,
                        ServerStatus status);
 
+/// An operator vouches that the silent processes of a zone, or of one daemon,
+/// are dead. Only for coordinators; repeats are harmless.
+void fence_zone(core::State& state, const ZoneName& zone);
+void fence_daemon(core::State& state, const DaemonName& daemon);
+
 }  // namespace eelgrasspin::core::membership
 
 #endif  // EELGRASSPIN_CORE_MEMBERSHIP_MEMBERSHIP_H_
--- a/src/core/names.cc
+++ b/src/core/names.cc
@@ -167,6 +167,9 @@
 StoreKey roster_key(const ZoneName& zone) {
   return StoreKey("live/zone/" + zone.str() + "/roster");
 }
+StoreKey zone_prefix(const ZoneName& zone) {
+  return StoreKey("live/zone/" + zone.str() + "/");
+}
 StoreKey zone_map_key(const ServiceName& service) {
   return StoreKey("live/service/" + service.str() + "/zones");
 }
