--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -17,7 +17,7 @@
 
 // Coordinator lease, in the store.
 inline constexpr Duration kCoordinatorTerm = milliseconds(2000);
-inline constexpr Duration kCoordinatorRenewInterval = milliseconds(600);
+inline constexpr Duration kCoordinatorRenewInterval = milliseconds(500);
 /// Allowance for two clocks running at different rates, on every lease.
 inline constexpr Duration kLeaseMargin = milliseconds(100);
 /// Silence of the coordinator after which a daemon of its zone reads the lease
