Prove isolation, empty zones and a start without the store on virtual time

Change: a coordinator from another zone goes home only once a daemon of the zone is heard. Cause: it released the lease every 3 s when the roster named only silent daemons (found by the new VM list case).

--- a/src/core/membership/roster.cc
+++ b/src/core/membership/roster.cc
@@ -243,10 +243,16 @@
 
 /// A coordinator from another zone goes once the zone's own daemon has the
 /// fronts.
-void go_home(core::State& state, const ZoneRoster& in_force) {
+void go_home(core::State& state, const ZoneRoster& in_force, Now now) {
   if (in_force.zone == state.self.zone) return;
-  bool member = find_member(in_force.members, state.self.name) != nullptr;
-  if (!member && !in_force.members.empty()) release_lease(state, in_force.zone);
+  if (find_member(in_force.members, state.self.name) != nullptr) return;
+  bool succeeded = std::any_of(in_force.members.begin(), in_force.members.end(),
+                               [&](const RosterMember& member) {
+                                 return present_run(state, in_force.zone,
+                                                    member.daemon, now) &&
+                                        !is_stopping(state, member.daemon);
+                               });
+  if (succeeded) release_lease(state, in_force.zone);
 }
 
 void step_roster(core::State& state, const ZoneName& zone, Now now,
@@ -260,7 +266,7 @@
   if (in_force != nullptr && next == *in_force) {
     forget_met_statuses(state, *in_force);
     state.membership.zones[zone].fence_ordered = false;
-    go_home(state, *in_force);
+    go_home(state, *in_force, now);
     return;
   }
   next.write_id = new_write_id(state);
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -35,15 +35,16 @@
  protected:
   MembershipTest() { cluster_.put(declarations_key(), declared(4)); }
 
-  /// Two daemons in the zone; "a" coordinates.
-  void start_pair() {
-    cluster_.add("a", "gongoni");
-    cluster_.add("b", "gongoni");
-    cluster_.start("a");
+  /// Two daemons in the zone; the first coordinates and had every front.
+  void start_pair(const std::string& first = "a",
+                  const std::string& second = "b") {
+    cluster_.add(first, "gongoni");
+    cluster_.add(second, "gongoni");
+    cluster_.start(first);
     cluster_.run(seconds(1));
-    cluster_.start("b");
+    cluster_.start(second);
     cluster_.run(seconds(3));
-    ASSERT_THAT(cluster_.coordinators_of("gongoni"), ElementsAre("a"));
+    ASSERT_THAT(cluster_.coordinators_of("gongoni"), ElementsAre(first));
     ASSERT_THAT(cluster_.stored_roster("gongoni").members, SizeIs(2));
   }
 
@@ -154,5 +155,156 @@
             nullptr);
 }
 
+TEST_F(MembershipTest, DeletedKeyGoesEverywhere) {
+  start_pair();
+  cluster_.put(drain_key(kPan), DrainPlan{.id = "d1", .server = kPan});
+  cluster_.run(seconds(1));
+  cluster_.put(drain_key(kPan), std::monostate{});
+  cluster_.run(seconds(1));
+  for (const char* node : {"a", "b"}) {
+    const Cache& cache = cluster_.at(node).state.cache;
+    EXPECT_EQ(find<DrainPlan>(cache, drain_key(kPan)), nullptr);
+    EXPECT_EQ(version_of(cache, drain_key(kPan)), Version(0));
+  }
+}
+
+TEST_F(MembershipTest, DamagedRecordLeavesTheLastGoodOne) {
+  start_pair();
+  cluster_.put(declarations_key(), DamagedRecord{"format 9"});
+  cluster_.run(seconds(2));
+  for (const char* node : {"a", "b"})
+    EXPECT_NE(declarations(cluster_.at(node).state.cache), nullptr);
+  EXPECT_TRUE(recorded("a", TimelineKind::kDamagedRecord));
+  EXPECT_EQ(cluster_.at("a").state.counters[Counter::kDamagedRecords], 1U);
+}
+
+TEST_F(MembershipTest, EmptyZoneIsHeldFromItsRegionUntilADaemonComes) {
+  cluster_.add("m", "marereni");
+  cluster_.add("x", "mpeketoni", "lamu");
+  cluster_.add("a", "gongoni");
+  cluster_.start("m");
+  cluster_.start("x");
+  cluster_.run(seconds(6));
+  EXPECT_THAT(cluster_.coordinators_of("gongoni"), ElementsAre("m"));
+  EXPECT_THAT(front_counts(), (std::map<std::string, int>{{"m", 4}}));
+  cluster_.start("a");
+  cluster_.run(seconds(4));
+  EXPECT_THAT(cluster_.coordinators_of("gongoni"), ElementsAre("a"));
+  EXPECT_THAT(cluster_.stored_roster("gongoni").members, SizeIs(1));
+  EXPECT_THAT(front_counts(), (std::map<std::string, int>{{"a", 4}}));
+  cluster_.run(seconds(10));
+  EXPECT_THAT(cluster_.coordinators_of("gongoni"), ElementsAre("a"));
+}
+
+TEST_F(MembershipTest, DaemonThatStartsWithoutTheStoreLearnsFromItsSeeds) {
+  start_pair();
+  cluster_.add("c", "gongoni").state.self.seeds = {Endpoint("b")};
+  cluster_.store_up = false;
+  cluster_.start("c");
+  cluster_.run(seconds(4));
+  const core::State& late = cluster_.at("c").state;
+  EXPECT_NE(declarations(late.cache), nullptr);
+  EXPECT_NE(roster(late.cache, kZone), nullptr);
+  EXPECT_FALSE(hears_store(late, cluster_.now_at(cluster_.at("c"))));
+  EXPECT_THAT(cluster_.coordinators_of("gongoni"), SizeIs(0));
+  cluster_.store_up = true;
+  cluster_.run(seconds(8));
+  EXPECT_THAT(cluster_.coordinators_of("gongoni"), SizeIs(1));
+  EXPECT_THAT(cluster_.stored_roster("gongoni").members, SizeIs(3));
+  EXPECT_TRUE(recorded("c", TimelineKind::kStoreUp));
+}
+
+TEST_F(MembershipTest, LoneFrontStopsAndIsProvenStopped) {
+  cluster_.put(declarations_key(), declared(4, false));
+  start_pair("b", "a");
+  Node& lost = cluster_.at("b");
+  std::vector<ServerName> moved;
+  for (const auto& [server, each] : cluster_.stored_roster("gongoni").fronts) {
+    if (each.daemon == DaemonName("b")) moved.push_back(server);
+  }
+  ASSERT_THAT(moved, SizeIs(3));
+  cluster_.isolate("b");
+  std::optional<Duration> stopped;
+  std::optional<Duration> cleared;
+  cluster_.after_step = [&] {
+    bool renews = may_renew_grants(lost.state, cluster_.now_at(lost));
+    if (!renews && !stopped) stopped = cluster_.now();
+    FrontAssignment now = front(moved.front());
+    bool taken = now.daemon == DaemonName("a") && !now.awaiting_predecessor;
+    if (taken && !cleared) cleared = cluster_.now();
+  };
+  cluster_.run(seconds(5));
+  EXPECT_EQ(front(moved.front()).daemon, DaemonName("a"));
+  EXPECT_TRUE(front(moved.front()).awaiting_predecessor);
+  cluster_.run(seconds(6));
+  ASSERT_TRUE(stopped && cleared);
+  EXPECT_GE(*cleared - *stopped, config::kGrantTerm);
+  EXPECT_THAT(cluster_.stored_roster("gongoni").lost, SizeIs(0));
+}
+
+TEST_F(MembershipTest, FrontThatHearsOnlyItsNeighbourGoesOn) {
+  start_pair();
+  cluster_.store_up = false;
+  cluster_.run(seconds(30));
+  for (auto& [name, node] : cluster_.nodes())
+    EXPECT_TRUE(may_renew_grants(node.state, cluster_.now_at(node)));
+}
+
+TEST_F(MembershipTest, OneWayLinkDoesNotKeepAFrontGoing) {
+  start_pair();
+  cluster_.isolate("b");
+  cluster_.mend("b");
+  cluster_.at("b").store_reachable = false;
+  cluster_.cut("b", "a");
+  cluster_.run(seconds(5));
+  Node& lost = cluster_.at("b");
+  EXPECT_FALSE(may_renew_grants(lost.state, cluster_.now_at(lost)));
+}
+
+TEST_F(MembershipTest, FrontAloneOnItsRosterWaitsForTheVmList) {
+  cluster_.put(declarations_key(), declared(4, false));
+  cluster_.add("a", "gongoni");
+  cluster_.start("a");
+  cluster_.run(seconds(1));
+  cluster_.add("m", "marereni");
+  cluster_.start("m");
+  cluster_.run(seconds(1));
+  cluster_.isolate("a");
+  cluster_.run(seconds(30));
+  EXPECT_EQ(front().daemon, DaemonName("m"));
+  EXPECT_TRUE(front().awaiting_predecessor);
+  Node& alone = cluster_.at("a");
+  EXPECT_TRUE(may_renew_grants(alone.state, cluster_.now_at(alone)));
+  cluster_.vms = {{"a", VmState::kGone}};
+  cluster_.run(seconds(6));
+  EXPECT_FALSE(front().awaiting_predecessor);
+}
+
+TEST_F(MembershipTest, FenceFreesTheServersOfASilentZone) {
+  cluster_.put(declarations_key(), declared(4, false));
+  cluster_.add("a", "gongoni");
+  cluster_.start("a");
+  cluster_.run(seconds(1));
+  cluster_.add("m", "marereni");
+  cluster_.start("m");
+  cluster_.run(seconds(1));
+  cluster_.isolate("a");
+  cluster_.run(seconds(20));
+  EXPECT_TRUE(front().awaiting_predecessor);
+  fence_zone(cluster_.at("m").state, kZone);
+  cluster_.run(seconds(1));
+  EXPECT_TRUE(cluster_.stored_roster("gongoni").fenced);
+  EXPECT_FALSE(front().awaiting_predecessor);
+}
+
+TEST_F(MembershipTest, LeavingServerIsDrained) {
+  start_pair();
+  cluster_.vms = {{kPan.str(), VmState::kLeaving}, {"b", VmState::kLeaving}};
+  cluster_.run(seconds(6));
+  EXPECT_EQ(cluster_.stored_roster("gongoni").statuses.at(kPan),
+            ServerStatus::kDraining);
+  EXPECT_THAT(front_counts(), (std::map<std::string, int>{{"a", 4}}));
+}
+
 }  // namespace
 }  // namespace eelgrasspin::core::membership
