--- /dev/null
+++ b/src/core/ownership/coordinator.h
@@ -0,0 +1,27 @@
+#ifndef EELGRASSPIN_CORE_OWNERSHIP_COORDINATOR_H_
+#define EELGRASSPIN_CORE_OWNERSHIP_COORDINATOR_H_
+
+#include "core/effect.h"
+#include "core/ownership/map_edit.h"
+#include "core/ownership/state.h"
+
+namespace eelgrasspin::core {
+struct State;
+}
+
+/// Decisions of an availability zone's coordinator on the ownership maps. Each
+/// is taken from the stored records and the fronts' reports alone, so that any
+/// later coordinator can go on after any step.
+namespace eelgrasspin::core::ownership {
+
+/// Takes the next steps for every part of the zones that this daemon
+/// coordinates.
+void coordinate(core::State& state, Now now, Effects& effects);
+
+/// Whether an owner has provably nothing of an unsettled unit left.
+bool is_revoked(const MapEdit& edit, const Unit& unit,
+                const UnsettledUnit& unsettled);
+
+}  // namespace eelgrasspin::core::ownership
+
+#endif  // EELGRASSPIN_CORE_OWNERSHIP_COORDINATOR_H_
--- /dev/null
+++ b/src/core/ownership/fronts.cc
@@ -0,0 +1,403 @@
+#include "core/ownership/fronts.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/membership/membership.h"
+#include "core/ownership/maps.h"
+#include "core/ownership/ownership.h"
+#include "core/request/requests.h"
+#include "core/state.h"
+
+namespace eelgrasspin::core::ownership {
+namespace {
+
+Duration execution_limit(const core::State& state, const ServerName& server) {
+  const ServerDeclaration* declared = server_declaration(state.cache, server);
+  if (declared == nullptr) return config::kDefaultExecutionLimit;
+  const ServiceDeclaration* service =
+      service_declaration(state.cache, declared->service);
+  return service == nullptr ? config::kDefaultExecutionLimit
+                            : service->execution_limit;
+}
+
+std::map<ServerName, FrontAssignment> own_assignments(
+    const core::State& state) {
+  std::map<ServerName, FrontAssignment> own;
+  for_each_prefixed(
+      state.cache, StoreKey("live/zone/"), [&](const StoreEntry& entry) {
+        const auto* roster = std::get_if<ZoneRoster>(&entry.record);
+        if (roster == nullptr) return;
+        for (const auto& [server, front] : roster->fronts) {
+          if (front.daemon == state.self.name &&
+              front.incarnation == state.self.incarnation)
+            own[server] = front;
+        }
+      });
+  return own;
+}
+
+void retire(core::State& state, const ServerName& server, Now now,
+            Effects& effects) {
+  auto node = state.ownership.fronts.extract(server);
+  Front& front = node.mapped();
+  record(state,
+         {.kind = TimelineKind::kFrontStopped,
+          .server = server,
+          .epoch = front.epoch.value},
+         now, effects);
+  front.since = now.mono;
+  state.ownership.former_fronts[server] = std::move(front);
+}
+
+void take_up(core::State& state, const ServerName& server,
+             const FrontAssignment& assignment, Now now, Effects& effects) {
+  Front front{.server = server, .epoch = assignment.epoch, .since = now.mono};
+  if (!assignment.awaiting_predecessor) front.predecessor_stopped = now.mono;
+  state.ownership.fronts[server] = std::move(front);
+  ++state.counters[Counter::kFrontTerms];
+  record(state,
+         {.kind = TimelineKind::kFrontGained,
+          .server = server,
+          .epoch = assignment.epoch.value},
+         now, effects);
+}
+
+/// Whether the request path has nothing of a unit on the server.
+bool is_idle(const core::State& state, const ServerName& server,
+             const Unit& unit) {
+  return request::running(state, server, unit.slot, unit.key) == 0;
+}
+
+bool being_revoked(const MapIndex& index, const Unit& unit,
+                   const ServerName& server) {
+  auto it = index.unsettled.find(unit);
+  return it != index.unsettled.end() && it->second.record.owner == server;
+}
+
+bool drop_unwanted(const core::State& state, Front& front,
+                   const MapIndex& index, const std::vector<SlotGrant>& wanted,
+                   Now now) {
+  bool changed = false;
+  std::vector<Unit> gone;
+  for (auto& [unit, granted] : front.units) {
+    auto it = std::lower_bound(wanted.begin(), wanted.end(), unit,
+                               [](const SlotGrant& grant, const Unit& u) {
+                                 return Unit{grant.slot, grant.key} < u;
+                               });
+    if (it != wanted.end() && it->slot == unit.slot && it->key == unit.key)
+      continue;
+    granted.closing = true;
+    if (!being_revoked(index, unit, front.server) ||
+        is_idle(state, front.server, unit))
+      gone.push_back(unit);
+  }
+  for (const Unit& unit : gone) {
+    drop_unit(front, unit, now.mono);
+    changed = true;
+  }
+  return changed;
+}
+
+bool add_wanted(Front& front, const std::vector<SlotGrant>& wanted) {
+  bool changed = false;
+  for (const SlotGrant& grant : wanted) {
+    Unit unit{grant.slot, grant.key};
+    auto it = front.units.find(unit);
+    if (it == front.units.end() || it->second.epoch != grant.epoch)
+      changed = true;
+    grant_unit(front, unit, grant.epoch);
+  }
+  return changed;
+}
+
+void forget_settled_drops(Front& front, const MapIndex& index) {
+  std::erase_if(front.dropped, [&](const auto& entry) {
+    return !being_revoked(index, entry.first, front.server);
+  });
+}
+
+bool has_closing(const Front& front) {
+  return std::any_of(front.units.begin(), front.units.end(),
+                     [](const auto& entry) { return entry.second.closing; });
+}
+
+/// False while the ownership map is not known.
+bool refresh_set(core::State& state, Front& front, Now now) {
+  static const std::vector<SlotGrant> kNothing;
+  const ServerDeclaration* declared =
+      server_declaration(state.cache, front.server);
+  if (declared == nullptr) return front.set_version != 0;
+  front.checks_grants = declared->checks_grants;
+  const MapIndex* index = map_index(state, {declared->service, declared->zone});
+  if (index == nullptr) return front.set_version != 0;
+  bool same_maps = index->map_version == front.map_version &&
+                   index->zone_map_version == front.zone_map_version;
+  if (same_maps && !has_closing(front)) return true;
+  auto owned = index->owned.find(front.server);
+  const auto& wanted = owned == index->owned.end() ? kNothing : owned->second;
+  bool changed = drop_unwanted(state, front, *index, wanted, now);
+  if (!same_maps) {
+    changed = add_wanted(front, wanted) || changed;
+    forget_settled_drops(front, *index);
+    front.map_version = index->map_version;
+    front.zone_map_version = index->zone_map_version;
+  }
+  if (changed || front.set_version == 0) ++front.set_version;
+  return true;
+}
+
+void send_order(core::State& state, Front& front, Now now, Effects& effects) {
+  const ServerDeclaration* declared =
+      server_declaration(state.cache, front.server);
+  if (declared == nullptr) return;
+  std::optional<GrantOrder> order =
+      next_order(front, state.self.name, now.mono);
+  if (!order.has_value()) return;
+  ++state.counters[Counter::kGrantOrders];
+  effects.push_back(
+      SendGrant{front.server, declared->address, std::move(*order)});
+}
+
+void record_lapse(core::State& state, Front& front, Now now, Effects& effects) {
+  bool lapsed = is_lapsed(state, front, now);
+  if (lapsed == front.lapse_recorded) return;
+  front.lapse_recorded = lapsed;
+  if (lapsed) ++state.counters[Counter::kServerLapses];
+  record(state,
+         {.kind = lapsed ? TimelineKind::kServerLapsed
+                         : TimelineKind::kServerReturned,
+          .server = front.server,
+          .epoch = front.epoch.value},
+         now, effects);
+}
+
+bool has_yielded(const core::State& state, const ServerName& server, Now now) {
+  const ServerDeclaration* declared = server_declaration(state.cache, server);
+  if (declared == nullptr) return false;
+  const ServiceDeclaration* service =
+      service_declaration(state.cache, declared->service);
+  if (service == nullptr || service->on_isolation != IsolationPolicy::kYield)
+    return false;
+  const auto& heard = state.ownership.store_heard;
+  return !heard.has_value() || now.mono - *heard > service->yield_after;
+}
+
+FrontReport stopped_report(const Front& front) {
+  return {.server = front.server, .front_epoch = front.epoch, .stopped = true};
+}
+
+bool released(const core::State& state, const Front& front, const Unit& unit,
+              Now now) {
+  Duration limit = execution_limit(state, front.server);
+  if (front.checks_grants) return is_released(front, unit, limit, now.mono);
+  if (front.units.contains(unit) || !front.predecessor_stopped.has_value() ||
+      front.unconfirmed)
+    return false;
+  auto it = front.dropped.find(unit);
+  TimePoint quiet_since =
+      it == front.dropped.end() ? *front.predecessor_stopped : it->second.at;
+  return is_idle(state, front.server, unit) && now.mono > quiet_since + limit;
+}
+
+FrontReport make_report(const core::State& state, const Front& front, Now now) {
+  FrontReport report{.server = front.server, .front_epoch = front.epoch};
+  report.stopped = front.stale;
+  report.map_version = front.map_version;
+  report.holds_grant =
+      front.checks_grants
+          ? grant_in_force(front, now.mono)
+          : may_act(state, front, now) && front.predecessor_stopped.has_value();
+  report.lapsed = is_lapsed(state, front, now);
+  auto hold = latest_hold(front);
+  report.silent = report.lapsed || (front.checks_grants && !front.stale &&
+                                    hold.has_value() && now.mono > *hold);
+  report.running = request::running(state, front.server);
+  report.queued = request::queued(state, front.server);
+  request::ServerLoad load = request::server_load(state, front.server, now);
+  report.requests_per_second = load.requests_per_second;
+  report.slot_rates = std::move(load.slot_rates);
+  report.hot_keys = std::move(load.hot_keys);
+  const ServerDeclaration* declared =
+      server_declaration(state.cache, front.server);
+  if (declared == nullptr) return report;
+  auto index =
+      state.ownership.indexes.find({declared->service, declared->zone});
+  if (index == state.ownership.indexes.end()) return report;
+  for (const auto& [unit, unsettled] : index->second.unsettled) {
+    if (unsettled.record.owner != front.server) continue;
+    if (released(state, front, unit, now)) {
+      report.released.push_back(
+          {unit.slot, unit.key, Epoch(unsettled.record.epoch.value - 1)});
+    }
+  }
+  return report;
+}
+
+/// Time for which the end of a front role is still reported.
+constexpr Duration kFormerFrontReported = seconds(30);
+
+}  // namespace
+
+void sync_fronts(core::State& state, Now now, Effects& effects) {
+  if (state.ownership.seen_generation == state.cache.generation) return;
+  state.ownership.seen_generation = state.cache.generation;
+  auto own = own_assignments(state);
+  std::vector<ServerName> ended;
+  for (const auto& [server, front] : state.ownership.fronts) {
+    auto it = own.find(server);
+    if (it == own.end() || it->second.epoch != front.epoch)
+      ended.push_back(server);
+  }
+  for (const ServerName& server : ended) retire(state, server, now, effects);
+  for (const auto& [server, assignment] : own) {
+    auto it = state.ownership.fronts.find(server);
+    if (it == state.ownership.fronts.end()) {
+      take_up(state, server, assignment, now, effects);
+    } else if (!assignment.awaiting_predecessor &&
+               !it->second.predecessor_stopped.has_value()) {
+      it->second.predecessor_stopped = now.mono;
+    }
+  }
+}
+
+void note_silence(core::State& state, Now now) {
+  bool paused = now.mono - state.ownership.last_step > config::kLoneFrontAfter;
+  bool lone = !membership::may_renew_grants(state, now);
+  state.ownership.last_step = now.mono;
+  if (membership::hears_store(state, now))
+    state.ownership.store_heard = now.mono;
+  if (!paused && !lone) return;
+  for (auto& [server, front] : state.ownership.fronts) {
+    front.unconfirmed = true;
+    front.confirming.reset();
+    front.confirm_at = now.mono;
+  }
+}
+
+void confirm_fronts(core::State& state, const Event& event, Now now,
+                    Effects& effects) {
+  const auto* answer = std::get_if<StoreAnswered>(&event);
+  for (auto& [server, front] : state.ownership.fronts) {
+    if (!front.unconfirmed) continue;
+    if (answer != nullptr && front.confirming == answer->op) {
+      front.confirming.reset();
+      front.confirm_at = now.mono + config::kStoreRetryInterval;
+      const auto* read = std::get_if<StoreRead>(&answer->result);
+      if (read == nullptr) continue;
+      for (const StoreEntry& entry : read->entries) apply(state.cache, entry);
+      front.unconfirmed = false;
+    } else if (!front.confirming.has_value() && now.mono >= front.confirm_at) {
+      const ServerDeclaration* declared =
+          server_declaration(state.cache, server);
+      if (declared == nullptr) continue;
+      front.confirming = next_store_op(state);
+      ++state.counters[Counter::kStoreReads];
+      effects.push_back(
+          StoreGet{*front.confirming, roster_key(declared->zone)});
+    }
+  }
+}
+
+void on_grant_reply(core::State& state, const GrantReplied& reply, Now now,
+                    Effects& effects) {
+  auto it = state.ownership.fronts.find(reply.server);
+  if (it == state.ownership.fronts.end() ||
+      it->second.epoch != reply.front_epoch)
+    return;
+  Front& front = it->second;
+  bool was_stale = front.stale;
+  bool was_unreachable = front.unreachable;
+  take_reply(front, reply.sequence, reply.reply, now.mono);
+  if (!state.guards.fence) front.stale = false;
+  if (front.unreachable) ++state.counters[Counter::kGrantUnreachable];
+  if (front.unreachable && !was_unreachable) {
+    record(state,
+           {.kind = TimelineKind::kServerUnreachable,
+            .server = front.server,
+            .epoch = front.epoch.value},
+           now, effects);
+  }
+  if (front.stale && !was_stale) {
+    ++state.counters[Counter::kGrantStale];
+    record(state,
+           {.kind = TimelineKind::kGrantStale,
+            .server = front.server,
+            .epoch = front.epoch.value},
+           now, effects);
+  }
+  if (!front.confirm_recorded && grant_in_force(front, now.mono)) {
+    front.confirm_recorded = true;
+    record(state,
+           {.kind = TimelineKind::kGrantConfirmed,
+            .server = front.server,
+            .epoch = front.epoch.value},
+           now, effects);
+  }
+}
+
+void drive_fronts(core::State& state, Now now, Effects& effects) {
+  std::erase_if(state.ownership.former_fronts, [&](const auto& entry) {
+    return now.mono - entry.second.since > kFormerFrontReported;
+  });
+  for (auto& [server, front] : state.ownership.fronts) {
+    bool map_known = refresh_set(state, front, now);
+    if (front.checks_grants && map_known && may_act(state, front, now))
+      send_order(state, front, now, effects);
+    record_lapse(state, front, now, effects);
+  }
+}
+
+bool may_act(const core::State& state, const Front& front, Now now) {
+  return !front.stale && !front.unconfirmed &&
+         membership::may_renew_grants(state, now) &&
+         !has_yielded(state, front.server, now);
+}
+
+bool is_lapsed(const core::State& state, const Front& front, Now now) {
+  if (!front.checks_grants || front.stale) return false;
+  if (!state.guards.lease_wait) return front.unreachable;
+  std::optional<TimePoint> hold = latest_hold(front);
+  return hold.has_value() &&
+         now.mono > *hold + execution_limit(state, front.server);
+}
+
+std::vector<ServerName> fronted_servers(const core::State& state) {
+  std::vector<ServerName> servers;
+  for (const auto& [server, front] : state.ownership.fronts) {
+    if (!front.stale) servers.push_back(server);
+  }
+  return servers;
+}
+
+std::vector<FrontReport> front_reports(const core::State& state, Now now) {
+  std::vector<FrontReport> reports;
+  for (const auto& [server, front] : state.ownership.fronts)
+    reports.push_back(make_report(state, front, now));
+  for (const auto& [server, front] : state.ownership.former_fronts)
+    reports.push_back(stopped_report(front));
+  return reports;
+}
+
+SendCheck check_send(const core::State& state, const ServerName& server,
+                     SlotId slot, const Key& key, Now now) {
+  auto it = state.ownership.fronts.find(server);
+  const ServerDeclaration* declared = server_declaration(state.cache, server);
+  if (it == state.ownership.fronts.end() || it->second.stale ||
+      declared == nullptr)
+    return {};
+  const Front& front = it->second;
+  FoundUnit found =
+      find_unit(state.cache, {declared->service, declared->zone}, slot, key);
+  if (found.record == nullptr || found.record->owner != server) return {};
+  SendCheck check{SendPermission::kHold, found.record->epoch, front.epoch};
+  if (found.record->phase != SlotPhase::kOwned || !may_act(state, front, now))
+    return check;
+  bool allowed = front.checks_grants ? may_send(front, found.unit,
+                                                found.record->epoch, now.mono)
+                                     : front.predecessor_stopped.has_value();
+  if (allowed) check.permission = SendPermission::kSend;
+  return check;
+}
+
+}  // namespace eelgrasspin::core::ownership
--- a/src/core/ownership/ownership.cc
+++ b/src/core/ownership/ownership.cc
@@ -2,43 +2,55 @@
 
 #include <xxhash.h>
 
+#include "core/ownership/coordinator.h"
+#include "core/ownership/fronts.h"
+#include "core/ownership/maps.h"
 #include "core/state.h"
 
 namespace eelgrasspin::core::ownership {
+namespace {
 
-void step(core::State& /*state*/, const Event& /*event*/, Now /*now*/,
-          Effects& /*effects*/) {}
-
-SlotId slot_of(const Key& key, std::uint32_t key_slots) {
-  std::uint64_t hash = XXH64(key.str().data(), key.str().size(), 0);
-  return SlotId(static_cast<std::uint32_t>(hash & (key_slots - 1)));
+/// Events of single requests change nothing here before the next tick.
+bool concerns_ownership(const Event& event) {
+  return !std::holds_alternative<RequestArrived>(event) &&
+         !std::holds_alternative<RequestCancelled>(event) &&
+         !std::holds_alternative<AttemptEnded>(event);
 }
 
-SendCheck check_send(const core::State& /*state*/, const ServerName& /*server*/,
-                     SlotId /*slot*/, const Key& /*key*/, Now /*now*/) {
-  return {};
+void settle_writes(core::State& state, Now now, Effects& effects) {
+  for (const auto& [part, memory] : state.ownership.parts)
+    on_write_settled(state, part, now, effects);
 }
 
-std::vector<ServerName> fronted_servers(const core::State& /*state*/) {
-  return {};
+}  // namespace
+
+void step(core::State& state, const Event& event, Now now, Effects& effects) {
+  note_silence(state, now);
+  if (!concerns_ownership(event)) return;
+  if (const auto* reply = std::get_if<GrantReplied>(&event))
+    on_grant_reply(state, *reply, now, effects);
+  confirm_fronts(state, event, now, effects);
+  sync_fronts(state, now, effects);
+  if (!state.writer.settled.empty()) settle_writes(state, now, effects);
+  drive_fronts(state, now, effects);
+  if (std::holds_alternative<Tick>(event)) coordinate(state, now, effects);
 }
 
-std::vector<FrontReport> front_reports(const core::State& /*state*/,
-                                       Now /*now*/) {
-  return {};
-}
-
-Result<std::string> order_move(core::State& /*state*/,
-                               const MoveCommand& /*move*/, Now /*now*/,
-                               Effects& /*effects*/) {
-  return Error{ErrorCode::kUnavailable,
-               "this daemon does not coordinate the zone"};
+SlotId slot_of(const Key& key, std::uint32_t key_slots) {
+  std::uint64_t hash = XXH64(key.str().data(), key.str().size(), 0);
+  return SlotId(static_cast<std::uint32_t>(hash & (key_slots - 1)));
 }
 
-std::uint64_t owned_units(const core::State& /*state*/,
-                          const ServiceName& /*service*/,
-                          const ZoneName& /*zone*/) {
-  return 0;
+std::uint64_t owned_units(const core::State& state, const ServiceName& service,
+                          const ZoneName& zone) {
+  const OwnershipMap* map = ownership_map(state.cache, {service, zone});
+  if (map == nullptr) return 0;
+  std::uint64_t units = 0;
+  for (const auto& [slot, record] : map->slots)
+    units += record.phase == SlotPhase::kClosed ? 0 : 1;
+  for (const auto& [key, record] : map->overrides)
+    units += record.phase == SlotPhase::kClosed ? 0 : 1;
+  return units;
 }
 
 }  // namespace eelgrasspin::core::ownership
--- /dev/null
+++ b/src/core/ownership/spread.cc
@@ -0,0 +1,38 @@
+#include "core/ownership/spread.h"
+
+#include <numeric>
+
+namespace eelgrasspin::core::ownership {
+
+ServerName place_on_lightest(std::vector<Share>& shares, double load) {
+  Share* best = nullptr;
+  double best_level = 0;
+  for (Share& share : shares) {
+    double level = (share.load + load) / share.capacity;
+    if (best == nullptr || level < best_level) {
+      best = &share;
+      best_level = level;
+    }
+  }
+  if (best == nullptr) return ServerName();
+  best->load += load;
+  return best->server;
+}
+
+std::vector<std::size_t> split_evenly(std::size_t count,
+                                      const std::vector<double>& capacities) {
+  double total = std::accumulate(capacities.begin(), capacities.end(), 0.0);
+  std::vector<std::size_t> parts;
+  double passed = 0;
+  std::size_t given = 0;
+  for (double capacity : capacities) {
+    passed += capacity;
+    auto upto = static_cast<std::size_t>(
+        static_cast<double>(count) * passed / total + 0.5);
+    parts.push_back(upto - given);
+    given = upto;
+  }
+  return parts;
+}
+
+}  // namespace eelgrasspin::core::ownership
--- /dev/null
+++ b/src/core/ownership/spread.h
@@ -0,0 +1,29 @@
+#ifndef EELGRASSPIN_CORE_OWNERSHIP_SPREAD_H_
+#define EELGRASSPIN_CORE_OWNERSHIP_SPREAD_H_
+
+#include <cstddef>
+#include <vector>
+
+#include "eelgrasspin/ids.h"
+
+/// Shares units out over backend servers in proportion to their capacity.
+namespace eelgrasspin::core::ownership {
+
+struct Share {
+  ServerName server;
+  double capacity = 1;
+  double load = 0;
+};
+
+/// The share with the least load for its capacity takes `load`. Empty name if
+/// there is none.
+ServerName place_on_lightest(std::vector<Share>& shares, double load);
+
+/// Splits `count` equal units in proportion to `capacities`; the result adds up
+/// to `count` unless there are no capacities.
+std::vector<std::size_t> split_evenly(std::size_t count,
+                                      const std::vector<double>& capacities);
+
+}  // namespace eelgrasspin::core::ownership
+
+#endif  // EELGRASSPIN_CORE_OWNERSHIP_SPREAD_H_
--- /dev/null
+++ b/src/core/ownership/zones.h
@@ -0,0 +1,21 @@
+#ifndef EELGRASSPIN_CORE_OWNERSHIP_ZONES_H_
+#define EELGRASSPIN_CORE_OWNERSHIP_ZONES_H_
+
+#include "core/effect.h"
+#include "core/ownership/state.h"
+
+namespace eelgrasspin::core {
+struct State;
+}
+
+/// The zone map of a service: which availability zone decides on each slot.
+namespace eelgrasspin::core::ownership {
+
+/// Creates the zone map of a declared service if it is absent, and gives slots
+/// that this zone has handed over to their new zones.
+void maintain_zone_map(core::State& state, const Part& part, Now now,
+                       Effects& effects);
+
+}  // namespace eelgrasspin::core::ownership
+
+#endif  // EELGRASSPIN_CORE_OWNERSHIP_ZONES_H_
