--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -52,6 +52,28 @@
 inline constexpr std::uint32_t kMaxKeySlots = 65'536;
 inline constexpr std::size_t kMaxKeyOverrides = 256;
 
+// Placement.
+inline constexpr Duration kPlacementInterval = seconds(5);
+/// Span over which fronts average the rates that they report.
+inline constexpr Duration kRateWindow = seconds(10);
+/// A unit that moved stays where it is for this long.
+inline constexpr Duration kMoveCooldown = seconds(60);
+/// A server that came back takes its full share of load after this.
+inline constexpr Duration kColdStartRamp = seconds(30);
+/// Level of load, against the mean, above which a server gives load away ...
+inline constexpr double kOverloadStart = 1.25;
+/// ... until it is at most at this level.
+inline constexpr double kOverloadStop = 1.10;
+/// Level below which a server is given load.
+inline constexpr double kUnderloadStart = 0.60;
+/// Cost of moving one slot, in units of the imbalance measure.
+inline constexpr double kSlotMoveCost = 0.0005;
+/// Cost of moving one carved-out key, in units of the imbalance measure.
+inline constexpr double kKeyMoveCost = 0.00002;
+/// Carved-out keys that are not among their server's busiest for this long go
+/// back to their slots.
+inline constexpr Duration kColdKeyAfter = seconds(120);
+
 // Requests.
 inline constexpr Duration kDefaultDeadline = seconds(5);
 inline constexpr Duration kMaxDeadline = seconds(300);
--- a/src/core/ownership/coordinator.cc
+++ b/src/core/ownership/coordinator.cc
@@ -6,20 +6,44 @@
 #include "core/membership/membership.h"
 #include "core/ownership/maps.h"
 #include "core/ownership/orders.h"
+#include "core/ownership/placement_orders.h"
 #include "core/ownership/zones.h"
 #include "core/state.h"
 
 namespace eelgrasspin::core::ownership {
 namespace {
 
-bool is_closing(const core::State& state, const Part& part) {
-  const auto* closure = find<Closure>(state.cache, closure_key(part.service));
-  if (closure == nullptr || closure->step == ClosureStep::kCancelled)
-    return false;
-  ClosureStep step = closure->step;
-  auto zone = closure->zones.find(part.zone);
-  if (zone != closure->zones.end()) step = std::max(step, zone->second);
-  return step >= ClosureStep::kDrained;
+enum class ClosurePhase { kNone, kAnnounced, kRevoking, kSealed };
+
+ClosurePhase closure_phase(const core::State& state,
+                           const ServiceName& service) {
+  const auto* closure = find<Closure>(state.cache, closure_key(service));
+  if (closure == nullptr) return ClosurePhase::kNone;
+  switch (closure->step) {
+    case ClosureStep::kAnnounced:
+    case ClosureStep::kAdmissionStopped:
+      return ClosurePhase::kAnnounced;
+    case ClosureStep::kDrained:
+    case ClosureStep::kRevoked:
+      return ClosurePhase::kRevoking;
+    case ClosureStep::kSealed:
+      return ClosurePhase::kSealed;
+    case ClosureStep::kCancelled:
+      return ClosurePhase::kNone;
+  }
+  return ClosurePhase::kNone;
+}
+
+/// Gives the slots of a cancelled closure an owner again.
+void reopen_closed(MapEdit& edit) {
+  if (edit.index.closed_units == 0) return;
+  for (auto& [slot, record] : editable(edit).slots) {
+    if (record.phase != SlotPhase::kClosed) continue;
+    record = {.epoch = record.epoch.next(), .phase = SlotPhase::kUnassigned};
+  }
+  std::erase_if(editable(edit).overrides, [](const auto& entry) {
+    return entry.second.phase == SlotPhase::kClosed;
+  });
 }
 
 /// Gives slots without a record to the usable servers, in runs.
@@ -259,15 +283,18 @@
   if (write_pending(state, ownership_map_key(part.service, part.zone))) return;
   MapEdit edit =
       begin_edit(state, part, *index, *ownership_map(state.cache, part), now);
-  bool closing = is_closing(state, part);
+  ClosurePhase closure = closure_phase(state, part.service);
+  bool closing = closure >= ClosurePhase::kRevoking;
   drop_foreign(edit);
   advance_unsettled(edit, closing);
   if (closing) {
     revoke_all(edit);
   } else {
+    if (closure == ClosurePhase::kNone) reopen_closed(edit);
     adopt_missing(edit);
     evacuate(edit);
     apply_orders(edit);
+    if (closure == ClosurePhase::kNone) order_placement(edit);
   }
   finish_edit(edit, effects);
   update_statuses(state, edit.servers, *index);
--- a/src/core/ownership/orders.cc
+++ b/src/core/ownership/orders.cc
@@ -127,14 +127,12 @@
   if (record.phase == SlotPhase::kClosed)
     return Error{ErrorCode::kRefused, "the service is closed"};
   if (record.phase == SlotPhase::kOwned && record.owner == move.server)
-    return "done: owned by " + record.owner.str() + " at epoch " +
-           std::to_string(record.epoch.value);
+    return std::string("done");
   if (record.phase == SlotPhase::kMoving && record.target == move.server)
-    return "moving: from " + record.owner.str() + " to " + record.target.str();
+    return std::string("moving");
   bool leaves = record.phase == SlotPhase::kReleasing ||
                 record.phase == SlotPhase::kHandedOver;
-  if (leaves && record.target_zone == move.zone)
-    return "moving: to zone " + record.target_zone.str();
+  if (leaves && record.target_zone == move.zone) return std::string("moving");
   if (record.phase == SlotPhase::kMoving)
     return Error{ErrorCode::kConflict,
                  "already moving to " + record.target.str()};
@@ -163,8 +161,7 @@
   const ZoneName* zone = zone_of(state.cache, move.service, slot);
   if (zone == nullptr)
     return Error{ErrorCode::kUnavailable, "the zone map is not known yet"};
-  if (*zone == move.zone)
-    return "done: the slot belongs to zone " + zone->str();
+  if (*zone == move.zone) return std::string("done");
   if (!membership::coordinates(state, *zone, now))
     return Error{ErrorCode::kUnavailable,
                  "this daemon does not coordinate zone " + zone->str()};
@@ -185,7 +182,7 @@
               it->second.target_zone == order.target_zone;
   if (!added && !same)
     return Error{ErrorCode::kConflict, "another move of it waits already"};
-  return std::string("waiting: the move is not written yet");
+  return std::string("waiting");
 }
 
 }  // namespace eelgrasspin::core::ownership
--- a/src/core/ownership/ownership.h
+++ b/src/core/ownership/ownership.h
@@ -46,8 +46,11 @@
 /// Reports of this daemon's fronts for the next heartbeat.
 std::vector<FrontReport> front_reports(const core::State& state, Now now);
 
-/// Orders a move from this zone's coordinator. The result says whether it was
-/// written, is waiting, or why not.
+/// Orders a move from this zone's coordinator; repeats are harmless. The result
+/// is "waiting" until the move is in the store, "moving" from then on, and
+/// "done" once the target owns it. Errors: kNotFound and kInvalid for a wrong
+/// order, kConflict if another move of the unit came first, kRefused if the
+/// target is not usable, kUnavailable if this daemon cannot decide now.
 Result<std::string> order_move(core::State& state, const MoveCommand& move,
                                Now now, Effects& effects);
 
--- /dev/null
+++ b/src/core/ownership/sketch.h
@@ -0,0 +1,49 @@
+#ifndef EELGRASSPIN_CORE_OWNERSHIP_SKETCH_H_
+#define EELGRASSPIN_CORE_OWNERSHIP_SKETCH_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "eelgrasspin/ids.h"
+
+/// The busiest keys of a stream in bounded memory, by the space-saving
+/// algorithm of Metwally, Agrawal and El Abbadi. A count is never below the
+/// true one, and above it by at most its error.
+namespace eelgrasspin::core::ownership {
+
+struct SketchEntry {
+  double count = 0;
+  double error = 0;  ///< Count that it took over from the key it replaced.
+};
+
+struct Sketch {
+  std::size_t capacity = 128;  ///< Keys kept.
+  std::map<Key, SketchEntry> entries;
+  std::set<std::pair<double, Key>> by_count;
+};
+
+struct CountedKey {
+  Key key;
+  double count = 0;
+  double error = 0;
+
+  bool operator==(const CountedKey&) const = default;
+};
+
+/// Counts one occurrence of a key.
+void note(Sketch& sketch, const Key& key, double weight = 1);
+
+/// The `n` keys with the highest counts, highest first.
+std::vector<CountedKey> top(const Sketch& sketch, std::size_t n);
+
+/// Multiplies all counts, so that old occurrences weigh less. `factor` is in
+/// (0, 1].
+void decay(Sketch& sketch, double factor);
+
+}  // namespace eelgrasspin::core::ownership
+
+#endif  // EELGRASSPIN_CORE_OWNERSHIP_SKETCH_H_
--- a/src/core/ownership/state.h
+++ b/src/core/ownership/state.h
@@ -56,6 +56,15 @@
   std::string cause;
 };
 
+/// What the placement policy remembers between two runs.
+struct PlacementMemory {
+  std::optional<TimePoint> last_run;
+  double budget = 0;                  ///< Moves it may still order now.
+  std::map<Unit, TimePoint> moved;    ///< Not to be moved again yet.
+  std::map<Key, TimePoint> last_hot;  ///< Of carved-out keys.
+  std::map<ServerName, TimePoint> usable_since;
+};
+
 /// What the coordinator of one part keeps in memory; all of it can be lost.
 struct PartState {
   std::map<Unit, MoveOrder> orders;
@@ -64,6 +73,7 @@
   std::uint64_t moves_started = 0;   ///< By the pending write.
   std::uint64_t moves_finished = 0;  ///< By the pending write.
   std::uint64_t recovered = 0;       ///< By the pending write.
+  PlacementMemory placement;
 };
 
 struct State {
