--- a/src/core/ownership/fronts.cc
+++ b/src/core/ownership/fronts.cc
@@ -46,8 +46,7 @@
           .server = server,
           .epoch = front.epoch.value},
          now, effects);
-  front.since = now.mono;
-  state.ownership.former_fronts[server] = std::move(front);
+  state.ownership.former_fronts[{server, front.epoch}] = now.mono;
 }
 
 void take_up(core::State& state, const ServerName& server,
@@ -183,10 +182,6 @@
   return !heard.has_value() || now.mono - *heard > service->yield_after;
 }
 
-FrontReport stopped_report(const Front& front) {
-  return {.server = front.server, .front_epoch = front.epoch, .stopped = true};
-}
-
 bool released(const core::State& state, const Front& front, const Unit& unit,
               Now now) {
   Duration limit = execution_limit(state, front.server);
@@ -338,7 +333,7 @@
 
 void drive_fronts(core::State& state, Now now, Effects& effects) {
   std::erase_if(state.ownership.former_fronts, [&](const auto& entry) {
-    return now.mono - entry.second.since > kFormerFrontReported;
+    return now.mono - entry.second > kFormerFrontReported;
   });
   for (auto& [server, front] : state.ownership.fronts) {
     bool map_known = refresh_set(state, front, now);
@@ -374,8 +369,10 @@
   std::vector<FrontReport> reports;
   for (const auto& [server, front] : state.ownership.fronts)
     reports.push_back(make_report(state, front, now));
-  for (const auto& [server, front] : state.ownership.former_fronts)
-    reports.push_back(stopped_report(front));
+  for (const auto& [front, ended] : state.ownership.former_fronts) {
+    reports.push_back(
+        {.server = front.first, .front_epoch = front.second, .stopped = true});
+  }
   return reports;
 }
 
--- a/src/core/ownership/state.h
+++ b/src/core/ownership/state.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/ownership/front.h"
@@ -78,7 +79,8 @@
 
 struct State {
   std::map<ServerName, Front> fronts;
-  std::map<ServerName, Front> former_fronts;  ///< Stopped; still reported.
+  /// Fronts given up, with when; still reported as stopped.
+  std::map<std::pair<ServerName, FrontEpoch>, TimePoint> former_fronts;
   std::uint64_t seen_generation =
       0;  ///< Of the cache, when `fronts` was made from it.
   std::map<Part, MapIndex> indexes;
--- a/src/scenario/checks.cc
+++ b/src/scenario/checks.cc
@@ -14,6 +14,14 @@
          slot.phase == SlotPhase::kReleasing;
 }
 
+/// Epoch under which the owner of a slot holds it; that of a slot on the move
+/// is its target's.
+Epoch held_epoch(const SlotRecord& slot) {
+  bool leaving =
+      slot.phase == SlotPhase::kMoving || slot.phase == SlotPhase::kReleasing;
+  return leaving ? Epoch(slot.epoch.value - 1) : slot.epoch;
+}
+
 void check_epochs(World& world, const OwnershipMap& before,
                   const OwnershipMap& after) {
   for (const auto& [slot, record] : after.slots) {
@@ -21,8 +29,9 @@
     if (earlier == before.slots.end()) continue;
     if (record.epoch < earlier->second.epoch)
       violate(world, "the epoch of a slot went down");
-    if (has_owner(record) && record.owner != earlier->second.owner &&
-        record.epoch == earlier->second.epoch) {
+    if (has_owner(record) && has_owner(earlier->second) &&
+        record.owner != earlier->second.owner &&
+        held_epoch(record) <= held_epoch(earlier->second)) {
       violate(world, "a slot changed owner under the same epoch");
     }
   }
