--- a/src/core/ownership/spread.cc
+++ b/src/core/ownership/spread.cc
@@ -1,5 +1,6 @@
 #include "core/ownership/spread.h"
 
+#include <cmath>
 #include <numeric>
 
 namespace eelgrasspin::core::ownership {
@@ -28,7 +29,7 @@
   for (double capacity : capacities) {
     passed += capacity;
     auto upto = static_cast<std::size_t>(
-        static_cast<double>(count) * passed / total + 0.5);
+        std::lround(static_cast<double>(count) * passed / total));
     parts.push_back(upto - given);
     given = upto;
   }
