--- a/src/config/declarations.cc
+++ b/src/config/declarations.cc
@@ -7,7 +7,7 @@
 #include "config/declarations_fields.h"
 #include "config/ini.h"
 #include "config/settings.h"
-#include "lang/nearest.h"
+#include "lang/names.h"
 
 namespace eelgrasspin::config {
 namespace {
@@ -91,7 +91,7 @@
                     : names == 1 ? "[" + kind + " NAME]"
                                  : "[operation SERVICE NAME]");
     }
-    if (!std::all_of(title.begin() + 1, title.end(), is_name)) {
+    if (!std::all_of(title.begin() + 1, title.end(), lang::is_name)) {
       return report(section.line, "[" + section.title + "]: not a name",
                     "letters, digits, '.', '_' and '-'");
     }
@@ -183,9 +183,10 @@
         report(line, who + " has no operation",
                "[operation " + name.str() + " NAME]");
       }
-      bool served = std::any_of(
-          out_.servers.begin(), out_.servers.end(),
-          [&](const auto& server) { return server.second.service == name; });
+      bool served = false;
+      for (const auto& [server_name, server] : out_.servers) {
+        served = served || server.service == name;
+      }
       if (!served) {
         report(line, who + " has no server", "[server NAME]");
       }
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -4,7 +4,7 @@
 #include <set>
 
 #include "config/values.h"
-#include "lang/nearest.h"
+#include "lang/names.h"
 
 namespace eelgrasspin::config {
 namespace {
@@ -91,7 +91,7 @@
 
   void read_operators(const IniSection& section) {
     for (const IniValue& value : section.values) {
-      if (!is_name(value.name)) {
+      if (!lang::is_name(value.name)) {
         report(value.line, value.name + ": not a name",
                "letters, digits, '.', '_' and '-'");
       } else if (value.value.size() < kLeastTokenBytes) {
--- a/src/config/values.cc
+++ b/src/config/values.cc
@@ -3,13 +3,12 @@
 #include <arpa/inet.h>
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <set>
 #include <sstream>
 
 #include "lang/lang.h"
-#include "lang/nearest.h"
+#include "lang/names.h"
 
 namespace eelgrasspin::config {
 namespace {
@@ -31,13 +30,6 @@
 
 }  // namespace
 
-bool is_name(std::string_view text) {
-  if (text.empty() || text.size() > kMaxNameLength) return false;
-  return std::all_of(text.begin(), text.end(), [](unsigned char c) {
-    return c < 0x80 && (std::isalnum(c) || c == '.' || c == '_' || c == '-');
-  });
-}
-
 bool is_endpoint(std::string_view text) {
   std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return false;
@@ -72,7 +64,7 @@
   return section_.line;
 }
 
-void Values::report(const IniValue& value, std::string message,
+void Values::report(const IniValue& value, const std::string& message,
                     std::string hint) {
   findings_.push_back({file_, value.line, 0,
                        value.name + " = " + value.value + ": " + message,
@@ -96,7 +88,7 @@
                        Presence presence) {
   const IniValue* value = find(name, presence);
   if (value == nullptr) return false;
-  if (!is_name(value->value)) {
+  if (!lang::is_name(value->value)) {
     report(*value, "not a name", "letters, digits, '.', '_' and '-'");
     return false;
   }
--- a/src/config/values.h
+++ b/src/config/values.h
@@ -17,11 +17,6 @@
 
 enum class Presence : std::uint8_t { kRequired, kOptional };
 
-/// Whether `text` may name a service, server, zone and so on: letters, digits,
-/// '.', '_' and '-', not longer than kMaxNameLength.
-bool is_name(std::string_view text);
-inline constexpr std::size_t kMaxNameLength = 40;
-
 /// Whether `text` is an IP number with a port above 0.
 bool is_endpoint(std::string_view text);
 
@@ -77,7 +72,8 @@
  private:
   const IniValue* find(const std::string& name, Presence presence);
   bool read_name(const std::string& name, std::string& out, Presence presence);
-  void report(const IniValue& value, std::string message, std::string hint);
+  void report(const IniValue& value, const std::string& message,
+              std::string hint);
   void report_choice(const IniValue& value,
                      const std::vector<std::string>& words);
 
--- a/src/lang/lang.h
+++ b/src/lang/lang.h
@@ -19,7 +19,8 @@
 std::string print(const Command& command);
 /// Whether the command changes nothing.
 bool is_query(const Command& command);
-/// Words that may come next after `text`, for completion.
+/// Words that may come next after `text`, for completion: keywords that go on
+/// from the word being typed, and things such as "<service>" to be named.
 std::vector<std::string> completions(std::string_view text);
 
 /// "90s", "2m", "250ms", "1h".
--- a/src/lang/nearest.cc
+++ b/src/lang/names.cc
@@ -1,6 +1,7 @@
-#include "lang/nearest.h"
+#include "lang/names.h"
 
 #include <algorithm>
+#include <cctype>
 #include <numeric>
 
 namespace eelgrasspin::lang {
@@ -8,6 +9,8 @@
 
 /// Longest names that are compared; longer ones are nobody's typing error.
 constexpr std::size_t kMaxCompared = 64;
+/// Names shorter than this may differ in one edit only.
+constexpr std::size_t kShortName = 4;
 
 /// Levenshtein distance.
 std::size_t edits_between(std::string_view left, std::string_view right) {
@@ -27,11 +30,19 @@
 
 }  // namespace
 
+bool is_name(std::string_view text) {
+  if (text.empty() || text.size() > kMaxNameLength) return false;
+  return std::all_of(text.begin(), text.end(), [](unsigned char c) {
+    return c < 0x80 && (std::isalnum(c) || c == '.' || c == '_' || c == '-');
+  });
+}
+
 std::string nearest(std::string_view name,
                     const std::vector<std::string>& known) {
   if (name.empty() || name.size() > kMaxCompared) return {};
   std::string best;
-  std::size_t best_edits = std::max<std::size_t>(1, name.size() / 3) + 1;
+  std::size_t tolerated = name.size() < kShortName ? 1 : 2;
+  std::size_t best_edits = std::max(tolerated, name.size() / 3) + 1;
   for (const std::string& candidate : known) {
     std::size_t edits = edits_between(name, candidate);
     if (edits >= best_edits) continue;
