--- a/src/config/declarations.cc
+++ b/src/config/declarations.cc
@@ -17,6 +17,7 @@
 template <class M>
 std::vector<std::string> names_of(const M& map) {
   std::vector<std::string> names;
+  names.reserve(map.size());
   for (const auto& [name, declared] : map) names.push_back(name.str());
   return names;
 }
