--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -71,6 +71,21 @@
 inline constexpr Duration kIntentCommitInterval = milliseconds(5);
 inline constexpr std::size_t kIntentSegmentEntries = 512;
 
+// Callers' connections.
+inline constexpr std::size_t kMaxCallerConnections = 4096;
+/// Longest time from a request's first byte to its last.
+inline constexpr Duration kReceiveLimit = seconds(10);
+inline constexpr Duration kIdleConnectionLimit = seconds(75);
+/// Bodies of requests not yet ended, together.
+inline constexpr std::size_t kMaxHeldBodyBytes = 96 * 1024 * 1024;
+
+// Connections to backend servers.
+inline constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+/// An idle connection younger than this counts as just shown to be alive.
+inline constexpr Duration kVerifiedConnectionAge = milliseconds(100);
+/// An idle connection older than this is replaced before use.
+inline constexpr Duration kReusableConnectionAge = seconds(2);
+
 // Streams between daemons.
 inline constexpr Duration kPingInterval = milliseconds(500);
 inline constexpr Duration kPingTimeout = milliseconds(400);
--- /dev/null
+++ b/src/io/caller_http.h
@@ -0,0 +1,59 @@
+#ifndef EELGRASSPIN_IO_CALLER_HTTP_H_
+#define EELGRASSPIN_IO_CALLER_HTTP_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <variant>
+
+#include "eelgrasspin/ids.h"
+#include "eelgrasspin/outcome.h"
+#include "eelgrasspin/request.h"
+#include "eelgrasspin/result.h"
+#include "eelgrasspin/transport.h"
+#include "io/http_server.h"
+
+/// The callers' side in HTTP.
+namespace eelgrasspin::io {
+
+/// A caller's request that is well-formed.
+struct CallerRequest {
+  RequestHead head;
+  std::shared_ptr<const Payload> payload;
+};
+
+/// Reads /<service>/<path...> and the caller's fields. The text says what is
+/// wrong.
+std::variant<CallerRequest, std::string> read_caller_request(
+    HttpRequest request);
+
+/// The answer of a backend server, marked as answered.
+HttpAnswer to_caller(std::uint16_t status, const Payload& payload);
+/// A refusal or unknown outcome. `request` 0 if the request got no id.
+HttpAnswer to_caller(Outcome outcome, Reason reason, Duration retry_after,
+                     RequestId request, const std::string& message = {});
+
+/// Port for callers.
+class CallerPort {
+ public:
+  struct Handlers {
+    std::function<void(CallerRequest, std::shared_ptr<HttpExchange>)>
+        on_request;
+    std::function<bool()> healthy;
+  };
+
+  CallerPort(boost::asio::io_context& io, Handlers handlers);
+
+  HttpServer& server() { return server_; }
+
+ private:
+  void handle(const std::shared_ptr<HttpExchange>& exchange);
+
+  Handlers handlers_;
+  HttpServer server_;
+};
+
+}  // namespace eelgrasspin::io
+
+#endif  // EELGRASSPIN_IO_CALLER_HTTP_H_
--- /dev/null
+++ b/src/io/h2_session.h
@@ -0,0 +1,74 @@
+#ifndef EELGRASSPIN_IO_H2_SESSION_H_
+#define EELGRASSPIN_IO_H2_SESSION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "eelgrasspin/ids.h"
+#include "eelgrasspin/units.h"
+#include "io/http_types.h"
+
+namespace eelgrasspin::io {
+
+/// Header fields, pseudo fields included, and body of one direction of a
+/// stream.
+struct H2Message {
+  HeaderFields headers;
+  std::string body;
+};
+
+enum class H2End : std::uint8_t {
+  kComplete,      ///< The whole answer was received.
+  kNotProcessed,  ///< Never sent, refused, or above the last id of a GOAWAY.
+  kLost,          ///< Reset, or the connection ended, before a whole answer.
+};
+
+/// One HTTP/2 connection between daemons. Not thread safe.
+class H2Session {
+ public:
+  using StreamId = std::int32_t;
+  using AnswerCallback = std::function<void(H2End, H2Message)>;
+
+  struct Handlers {
+    std::function<void(StreamId, H2Message)> on_request;  ///< Server side only.
+    /// The other side gave up on a stream that has no answer yet. Server side
+    /// only.
+    std::function<void(StreamId)> on_cancelled;
+    std::function<void()> on_closed;
+  };
+
+  virtual ~H2Session() = default;
+  /// Client side: sends a request. `done` is called once unless the stream is
+  /// cancelled.
+  virtual StreamId submit(H2Message request, AnswerCallback done) = 0;
+  /// Client side: resets a stream; its callback is not called any more.
+  virtual void cancel(StreamId stream) = 0;
+  /// Server side: answers a request; ignored if the stream has ended.
+  virtual void respond(StreamId stream, H2Message answer) = 0;
+  /// Refuses new streams and closes once the open ones have ended.
+  virtual void shut_down() = 0;
+  /// Closes at once.
+  virtual void close() = 0;
+  /// New streams may be submitted.
+  virtual bool usable() const = 0;
+  virtual bool connected() const = 0;
+  /// When bytes last came from the other side.
+  virtual TimePoint last_heard() const = 0;
+  virtual std::size_t open_streams() const = 0;
+  /// Stops reading and writing without closing. For tests.
+  virtual void silence() = 0;
+};
+
+std::shared_ptr<H2Session> connect_h2(boost::asio::io_context& io,
+                                      const Endpoint& endpoint,
+                                      H2Session::Handlers handlers);
+std::shared_ptr<H2Session> accept_h2(boost::asio::ip::tcp::socket socket,
+                                     H2Session::Handlers handlers);
+
+}  // namespace eelgrasspin::io
+
+#endif  // EELGRASSPIN_IO_H2_SESSION_H_
--- /dev/null
+++ b/src/io/http_client.cc
@@ -0,0 +1,309 @@
+#include "io/http_client.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+
+#include "io/endpoint.h"
+
+namespace eelgrasspin::io {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kReadChunk = 16 * 1024;
+constexpr std::size_t kMaxIdleConnections = 4;
+
+using Request = http::request<http::string_body>;
+
+Request to_beast(const HttpRequest& request, const Endpoint& endpoint) {
+  Request message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  if (find_header(request.headers, "host") == nullptr) {
+    message.set(http::field::host, endpoint.str());
+  }
+  for (const auto& [name, value] : request.headers) message.insert(name, value);
+  message.body() = request.body;
+  message.prepare_payload();
+  return message;
+}
+
+class Connection : public HttpConnection,
+                   public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(asio::io_context& io, const Endpoint& endpoint)
+      : socket_(io), timer_(io), endpoint_(endpoint), buffer_(kBufferLimit) {}
+
+  void exchange(const HttpRequest& request, Duration limit,
+                HttpCallback done) override {
+    done_ = std::move(done);
+    head_request_ = request.method == "HEAD";
+    message_.emplace(to_beast(request, endpoint_));
+    start_limit(limit);
+    if (phase_ == Phase::kNew) return connect(limit);
+    send();
+  }
+
+  void close() override {
+    done_ = nullptr;
+    shut();
+  }
+
+  bool idle() const override { return phase_ == Phase::kIdle; }
+  bool closed() const override { return phase_ == Phase::kClosed; }
+  std::uint64_t answered() const override { return answered_; }
+  TimePoint last_answer() const override { return last_answer_; }
+
+ private:
+  enum class Phase { kNew, kConnecting, kSending, kIdle, kClosed };
+  static constexpr std::size_t kBufferLimit =
+      config::kMaxHeaderBytes + kReadChunk;
+
+  void shut() {
+    phase_ = Phase::kClosed;
+    error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+  }
+
+  void start_limit(Duration limit) {
+    timer_.expires_after(limit);
+    timer_.async_wait([self = shared_from_this()](error_code failed) {
+      if (failed || !self->done_) return;
+      self->fail(self->phase_ == Phase::kConnecting ? HttpFailureKind::kConnectTimeout
+                                                    : HttpFailureKind::kTimeout,
+                 "no answer in time");
+    });
+  }
+
+  void connect(Duration limit) {
+    phase_ = Phase::kConnecting;
+    auto address = parse_endpoint(endpoint_);
+    if (!address) {
+      return asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->fail(HttpFailureKind::kRefused, "not an address");
+      });
+    }
+    start_connect_limit(limit);
+    socket_.async_connect(*address,
+                          [self = shared_from_this()](error_code failed) {
+                            self->on_connected(failed);
+                          });
+  }
+
+  void start_connect_limit(Duration limit) {
+    whole_limit_ = std::chrono::steady_clock::now() + limit;
+    if (limit > config::kConnectTimeout) start_limit(config::kConnectTimeout);
+  }
+
+  void on_connected(error_code failed) {
+    if (phase_ != Phase::kConnecting) return;
+    if (failed) return fail(HttpFailureKind::kRefused, failed.message());
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    start_limit(std::chrono::duration_cast<Duration>(
+        whole_limit_ - std::chrono::steady_clock::now()));
+    send();
+  }
+
+  void send() {
+    phase_ = Phase::kSending;
+    first_byte_seen_ = false;
+    new_parser();
+    auto held = std::make_shared<Request>(std::move(*message_));
+    message_.reset();
+    http::async_write(socket_, *held,
+                      [self = shared_from_this(), held](
+                          error_code failed, std::size_t) {
+                        self->on_sent(failed);
+                      });
+    read_more();
+  }
+
+  void on_sent(error_code failed) {
+    // A peer may answer and close before it has read the whole request.
+    if (failed && done_ && !reading_) {
+      fail(HttpFailureKind::kClosed, failed.message());
+    }
+  }
+
+  void new_parser() {
+    parser_.emplace();
+    parser_->header_limit(config::kMaxHeaderBytes);
+    parser_->body_limit(config::kMaxAnswerBytes);
+    parser_->eager(true);
+    parser_->skip(head_request_);
+  }
+
+  void read_more() {
+    if (reading_) return;
+    reading_ = true;
+    std::size_t room = std::min(kReadChunk, kBufferLimit - buffer_.size());
+    socket_.async_read_some(
+        buffer_.prepare(room),
+        [self = shared_from_this()](error_code failed, std::size_t count) {
+          self->on_read(failed, count);
+        });
+  }
+
+  void on_read(error_code failed, std::size_t count) {
+    reading_ = false;
+    if (phase_ == Phase::kClosed) return;
+    if (phase_ == Phase::kIdle) return shut();  // Closed, or unasked input.
+    if (failed) {
+      return fail(first_byte_seen_ ? HttpFailureKind::kTruncated
+                                   : HttpFailureKind::kClosed,
+                  failed.message());
+    }
+    first_byte_seen_ = true;
+    buffer_.commit(count);
+    parse();
+  }
+
+  void parse() {
+    error_code failed;
+    buffer_.consume(parser_->put(buffer_.data(), failed));
+    if (failed == http::error::need_more) failed = {};
+    if (failed) return fail(HttpFailureKind::kTruncated, failed.message());
+    if (!parser_->is_done()) {
+      if (buffer_.size() >= kBufferLimit) {
+        return fail(HttpFailureKind::kTruncated, "header too large");
+      }
+      return read_more();
+    }
+    if (parser_->get().result_int() < 200) {
+      new_parser();
+      return buffer_.size() > 0 ? parse() : read_more();
+    }
+    finish();
+  }
+
+  void finish() {
+    auto message = parser_->release();
+    HttpAnswer answer{static_cast<int>(message.result_int()), {}, {}, false};
+    for (const auto& field : message.base()) {
+      answer.headers.emplace_back(std::string(field.name_string()),
+                                  std::string(field.value()));
+    }
+    answer.body = std::move(message.body());
+    ++answered_;
+    last_answer_ = steady_now();
+    timer_.cancel();
+    phase_ = Phase::kIdle;
+    // Bytes after the answer belong to no request: the framing is in doubt.
+    if (!message.keep_alive() || buffer_.size() > 0) {
+      shut();
+    } else {
+      read_more();  // Notices that the other side closes.
+    }
+    HttpCallback done = std::move(done_);
+    done_ = nullptr;
+    if (done) done(std::move(answer));
+  }
+
+  void fail(HttpFailureKind kind, std::string why) {
+    HttpCallback done = std::move(done_);
+    done_ = nullptr;
+    shut();
+    if (done) done(HttpFailure{kind, std::move(why)});
+  }
+
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  Endpoint endpoint_;
+  beast::flat_buffer buffer_;
+  std::optional<Request> message_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  HttpCallback done_;
+  std::chrono::steady_clock::time_point whole_limit_;
+  TimePoint last_answer_;
+  std::uint64_t answered_ = 0;
+  Phase phase_ = Phase::kNew;
+  bool reading_ = false;
+  bool first_byte_seen_ = false;
+  bool head_request_ = false;
+};
+
+}  // namespace
+
+TimePoint steady_now() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+std::shared_ptr<HttpConnection> make_http_connection(asio::io_context& io,
+                                                     const Endpoint& endpoint) {
+  return std::make_shared<Connection>(io, endpoint);
+}
+
+HttpClient::HttpClient(asio::io_context& io, Endpoint endpoint)
+    : io_(io),
+      endpoint_(std::move(endpoint)),
+      connections_(
+          std::make_shared<std::vector<std::shared_ptr<HttpConnection>>>()) {}
+
+HttpClient::~HttpClient() {
+  for (const auto& connection : *connections_) connection->close();
+}
+
+std::shared_ptr<HttpConnection> HttpClient::take() {
+  auto& idle = *connections_;
+  TimePoint now = steady_now();
+  while (!idle.empty()) {
+    std::shared_ptr<HttpConnection> connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->idle() && now - connection->last_answer() <
+                                  config::kReusableConnectionAge) {
+      return connection;
+    }
+    connection->close();
+  }
+  return make_http_connection(io_, endpoint_);
+}
+
+void HttpClient::call(HttpRequest request, Duration limit, HttpCallback done) {
+  auto connection = take();
+  std::weak_ptr<std::vector<std::shared_ptr<HttpConnection>>> pool =
+      connections_;
+  connection->exchange(
+      request, limit,
+      [pool, connection, done = std::move(done)](HttpResult result) {
+        auto idle = pool.lock();
+        if (!idle) return connection->close();
+        if (std::holds_alternative<HttpFailure>(result)) {
+          idle->clear();  // The others may have gone silent as well.
+        } else if (connection->idle() && idle->size() < kMaxIdleConnections) {
+          idle->push_back(connection);
+        } else {
+          connection->close();
+        }
+        done(std::move(result));
+      });
+}
+
+HttpResult blocking_call(const Endpoint& endpoint, const HttpRequest& request,
+                         Duration limit) {
+  asio::io_context io;
+  HttpResult result = HttpFailure{};
+  auto connection = make_http_connection(io, endpoint);
+  connection->exchange(request, limit, [&](HttpResult answer) {
+    result = std::move(answer);
+    connection->close();
+  });
+  io.run();
+  return result;
+}
+
+}  // namespace eelgrasspin::io
--- /dev/null
+++ b/src/io/http_types.h
@@ -0,0 +1,62 @@
+#ifndef EELGRASSPIN_IO_HTTP_TYPES_H_
+#define EELGRASSPIN_IO_HTTP_TYPES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "eelgrasspin/ids.h"
+
+/// HTTP messages as plain data, and helpers for their fields.
+namespace eelgrasspin::io {
+
+using HeaderFields = std::vector<std::pair<std::string, std::string>>;
+
+struct HttpRequest {
+  std::string method;
+  std::string target;  ///< Path with query.
+  HeaderFields headers;
+  std::string body;
+  Endpoint remote;  ///< Who sent it; empty on the client side.
+};
+
+struct HttpAnswer {
+  int status = 200;
+  HeaderFields headers;
+  std::string body;
+  bool close = false;  ///< Close the connection after this answer.
+};
+
+/// First field of this name, compared without case; null if there is none.
+const std::string* find_header(const HeaderFields& headers,
+                               std::string_view name);
+std::size_t count_headers(const HeaderFields& headers, std::string_view name);
+bool equal_ignoring_case(std::string_view left, std::string_view right);
+
+/// Fields that concern one connection only and are not passed on.
+bool is_hop_by_hop(std::string_view name);
+/// Fields that are passed on: neither hop-by-hop, nor the project's own, nor
+/// named by Connection.
+HeaderFields end_to_end_headers(const HeaderFields& headers);
+
+/// A decimal number without sign or spaces; empty if the text is anything else.
+std::optional<std::uint64_t> parse_number(std::string_view text);
+/// The named field as a number; empty if absent or not one.
+std::optional<std::uint64_t> number_header(const HeaderFields& headers,
+                                           std::string_view name);
+
+/// Percent-encodes every byte that is neither unreserved nor '/'.
+std::string percent_encode(std::string_view text);
+std::string percent_decode(std::string_view text);
+
+/// Value of a query parameter, decoded; empty if absent.
+std::string query_parameter(std::string_view target, std::string_view name);
+/// The target without its query.
+std::string_view path_of(std::string_view target);
+
+}  // namespace eelgrasspin::io
+
+#endif  // EELGRASSPIN_IO_HTTP_TYPES_H_
--- /dev/null
+++ b/src/io/log.cc
@@ -0,0 +1,99 @@
+#include "io/log.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <iostream>
+
+namespace eelgrasspin::io {
+namespace {
+
+namespace logging = boost::log;
+
+constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info",
+                                                         "warning", "error"};
+BOOST_LOG_ATTRIBUTE_KEYWORD(severity, "Severity", int)
+
+logging::sources::severity_logger<int>& logger() {
+  static logging::sources::severity_logger<int> instance;
+  return instance;
+}
+
+bool needs_quotes(std::string_view text) {
+  return text.empty() || std::any_of(text.begin(), text.end(), [](char c) {
+           return c == ' ' || c == '"' || c == '=' || c == '\\' ||
+                  static_cast<unsigned char>(c) < ' ';
+         });
+}
+
+std::string quoted(std::string_view text) {
+  if (!needs_quotes(text)) return std::string(text);
+  std::string result = "\"";
+  for (char c : text) {
+    if (c == '"' || c == '\\') result += '\\';
+    result += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+  }
+  return result + "\"";
+}
+
+}  // namespace
+
+void open_log(std::string_view level) {
+  const auto* found = std::find(kLevelNames.begin(), kLevelNames.end(), level);
+  int least = found == kLevelNames.end()
+                  ? static_cast<int>(LogLevel::kInfo)
+                  : static_cast<int>(found - kLevelNames.begin());
+  static bool sink_added = false;
+  if (!sink_added) {
+    logging::add_console_log(std::cerr,
+                             logging::keywords::format = "%Message%",
+                             logging::keywords::auto_flush = true);
+    sink_added = true;
+  }
+  logging::core::get()->set_filter(severity >= least);
+}
+
+std::string format_fields(const LogFields& fields) {
+  std::string line;
+  for (const auto& [key, value] : fields) {
+    if (!line.empty()) line += ' ';
+    line += key;
+    line += '=';
+    line += quoted(value);
+  }
+  return line;
+}
+
+void log_line(LogLevel level, const LogFields& fields) {
+  auto number = static_cast<int>(level);
+  auto now = std::chrono::time_point_cast<Duration>(
+      std::chrono::system_clock::now());
+  BOOST_LOG_SEV(logger(), number)
+      << "time_ms=" << to_ms(now)
+      << " level=" << kLevelNames[static_cast<std::size_t>(number)] << ' '
+      << format_fields(fields);
+}
+
+void log_event(const TimelineEvent& event) {
+  LogFields fields = {{"event", std::string(to_string(event.kind))},
+                      {"daemon", event.daemon.str()},
+                      {"zone", event.zone.str()},
+                      {"sequence", std::to_string(event.sequence)}};
+  auto add = [&](std::string_view key, std::string value) {
+    if (!value.empty()) fields.emplace_back(key, std::move(value));
+  };
+  add("service", event.service.str());
+  add("server", event.server.str());
+  if (event.slot) add("slot", std::to_string(event.slot->value));
+  if (event.epoch > 0) add("epoch", std::to_string(event.epoch));
+  add("revision", std::to_string(event.revision.value));
+  add("cause", event.cause);
+  add("detail", event.detail);
+  log_line(LogLevel::kInfo, fields);
+}
+
+}  // namespace eelgrasspin::io
--- /dev/null
+++ b/src/io/transport_h2.h
@@ -0,0 +1,67 @@
+#ifndef EELGRASSPIN_IO_TRANSPORT_H2_H_
+#define EELGRASSPIN_IO_TRANSPORT_H2_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "eelgrasspin/ids.h"
+#include "eelgrasspin/outcome.h"
+#include "eelgrasspin/peer_message.h"
+#include "eelgrasspin/request.h"
+#include "eelgrasspin/result.h"
+#include "eelgrasspin/transport.h"
+#include "io/h2_session.h"
+
+namespace eelgrasspin::io {
+
+/// A request received from another daemon, waiting for its one end.
+class InboundRequest {
+ public:
+  virtual ~InboundRequest() = default;
+  virtual const RequestHead& head() const = 0;
+  virtual const ForwardedFrom& from() const = 0;
+  virtual std::shared_ptr<const Payload> payload() const = 0;
+  virtual void answer(std::uint16_t status, const Payload& payload) = 0;
+  virtual void refuse(Outcome outcome, Reason reason, Duration retry_after,
+                      Epoch newer_epoch) = 0;
+  /// Called when the other daemon gives up before the end.
+  virtual void on_gone(std::function<void()> gone) = 0;
+};
+
+/// Messages and requests between daemons over HTTP/2.
+class TransportH2 : public Transport {
+ public:
+  struct Handlers {
+    std::function<void(PeerMessage)> on_message;
+    std::function<void(std::shared_ptr<InboundRequest>)> on_request;
+  };
+
+  TransportH2(boost::asio::io_context& io, DaemonName self, Handlers handlers);
+  ~TransportH2() override;
+
+  /// Binds the port for other daemons; an error says why it could not.
+  std::optional<Error> listen(const Endpoint& endpoint);
+  Endpoint local() const;
+
+  void send(const Endpoint& to, const PeerMessage& message) override;
+  void forward(AttemptId attempt, const Endpoint& to,
+               const OutboundRequest& request, AttemptCallback done) override;
+  void cancel(AttemptId attempt) override;
+
+  /// Refuses further streams from other daemons; open ones end first.
+  void shut_down();
+  void close();
+  /// Connections that now exist go silent without being closed. For tests.
+  void silence_connections();
+
+  struct Impl;
+
+ private:
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace eelgrasspin::io
+
+#endif  // EELGRASSPIN_IO_TRANSPORT_H2_H_
