--- a/src/io/log.cc
+++ b/src/io/log.cc
@@ -50,7 +50,9 @@
   static bool sink_added = false;
   if (!sink_added) {
     logging::add_console_log(std::cerr,
-                             logging::keywords::format = "%Message%",
+                             logging::keywords::format =
+                                 logging::expressions::stream
+                                 << logging::expressions::smessage,
                              logging::keywords::auto_flush = true);
     sink_added = true;
   }
--- /dev/null
+++ b/src/standin/server.h
@@ -0,0 +1,103 @@
+#ifndef EELGRASSPIN_STANDIN_SERVER_H_
+#define EELGRASSPIN_STANDIN_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "eelgrasspin/ids.h"
+#include "eelgrasspin/result.h"
+#include "eelgrasspin/units.h"
+#include "io/http_server.h"
+#include "standin/grants.h"
+
+namespace eelgrasspin::standin {
+
+struct ServerOptions {
+  ServerName name;
+  std::uint32_t concurrency = 2;
+  std::uint32_t queue = 16;  ///< Requests that wait for a place; more are shed.
+  Duration cold_start{0};    ///< Work takes longer for this long.
+  Duration work = milliseconds(5);
+  Duration execution_limit = seconds(1);
+  bool checks_grants = true;
+  bool crashable = false;  ///< A path with "/crash" ends the process.
+  /// Ends the process; tests give their own.
+  std::function<void()> crash;
+};
+
+/// One request that this server ran.
+struct Execution {
+  std::string request;
+  std::string idempotency_key;
+  std::string key;
+  std::string method;
+  std::string path;
+  SlotId slot;
+  Epoch epoch;
+  WallTime started;
+  std::optional<WallTime> ended;
+  bool aborted = false;
+};
+
+/// A backend server that keeps state per key and checks grants.
+class BackendServer {
+ public:
+  BackendServer(boost::asio::io_context& io, ServerOptions options);
+  ~BackendServer();
+
+  std::optional<Error> listen(const Endpoint& endpoint);
+  Endpoint local() const { return server_.local(); }
+  const std::vector<Execution>& executions() const { return executions_; }
+  std::uint32_t most_running() const { return most_running_; }
+  std::size_t connections() const { return server_.connections(); }
+
+  void set_work(Duration work) { options_.work = work; }
+  void set_shedding(bool on) { shedding_ = on; }
+  void set_truncating(bool on) { truncating_ = on; }
+  /// Connections that now exist go silent; new ones work.
+  void silence_connections() { server_.silence_connections(); }
+  /// Stops accepting and closes every connection.
+  void close() { server_.close(); }
+  /// One control line; the error says what is wrong with it.
+  std::optional<Error> control(const std::string& line);
+
+ private:
+  using Exchange = std::shared_ptr<io::HttpExchange>;
+  struct Job;
+
+  void handle(const Exchange& exchange);
+  void handle_grant(const Exchange& exchange);
+  void handle_control(const Exchange& exchange);
+  void handle_request(const Exchange& exchange);
+  void start_waiting();
+  void start(const std::shared_ptr<Job>& job);
+  void finish(const std::shared_ptr<Job>& job);
+  void leave(const std::shared_ptr<Job>& job);
+  void answer(const Job& job);
+  void shed(const Exchange& exchange);
+  Duration work_time() const;
+  std::string log_text() const;
+
+  boost::asio::io_context& io_;
+  ServerOptions options_;
+  TimePoint started_;
+  Grants grants_;
+  std::deque<std::shared_ptr<Job>> waiting_;
+  std::set<std::shared_ptr<Job>> running_;
+  std::vector<Execution> executions_;
+  std::uint32_t most_running_ = 0;
+  bool shedding_ = false;
+  bool truncating_ = false;
+  io::HttpServer server_;
+};
+
+}  // namespace eelgrasspin::standin
+
+#endif  // EELGRASSPIN_STANDIN_SERVER_H_
