--- a/src/io/backend_calls_http.cc
+++ b/src/io/backend_calls_http.cc
@@ -52,8 +52,8 @@
         number_header(answer.headers, "eelgrasspin-newer-epoch").value_or(0));
     return {AttemptNotRun{Reason::kGrantRefused, Duration(0), newer}, nullptr};
   }
-  bool shed_status = answer.status == kTooManyRequests ||
-                     answer.status == kServiceUnavailable;
+  bool shed_status =
+      answer.status == kTooManyRequests || answer.status == kServiceUnavailable;
   if (refused != nullptr && shed_status && *refused == "shed") {
     return not_run(Reason::kPushback, retry_after(answer));
   }
@@ -212,11 +212,10 @@
     if (call->reused && call->repeatable) {
       limit = std::min(limit, limits_.execution_limit);
     }
-    connection->exchange(
-        call->message, limit,
-        [self = shared_from_this(), call](HttpResult result) {
-          self->on_result(call, std::move(result));
-        });
+    connection->exchange(call->message, limit,
+                         [self = shared_from_this(), call](HttpResult result) {
+                           self->on_result(call, std::move(result));
+                         });
   }
 
   void on_result(const std::shared_ptr<Call>& call, HttpResult result) {
--- a/src/io/caller_http.cc
+++ b/src/io/caller_http.cc
@@ -112,21 +112,21 @@
 
 CallerPort::CallerPort(boost::asio::io_context& io, Handlers handlers)
     : handlers_(std::move(handlers)),
-      server_(
-          io,
-          {.refusal =
-               [](int status, const std::string& why) {
-                 Reason reason = status == kPayloadTooLarge
-                                     ? Reason::kBodyTooLarge
-                                     : Reason::kBadRequest;
-                 HttpAnswer answer = to_caller(Outcome::kNotRun, reason,
-                                               Duration(0), RequestId(), why);
-                 answer.status = status;
-                 return answer;
-               }},
-          [this](const std::shared_ptr<HttpExchange>& exchange) {
-            handle(exchange);
-          }) {}
+      server_(io,
+              {.refusal =
+                   [](int status, const std::string& why) {
+                     Reason reason = status == kPayloadTooLarge
+                                         ? Reason::kBodyTooLarge
+                                         : Reason::kBadRequest;
+                     HttpAnswer answer =
+                         to_caller(Outcome::kNotRun, reason, Duration(0),
+                                   RequestId(), why);
+                     answer.status = status;
+                     return answer;
+                   }},
+              [this](const std::shared_ptr<HttpExchange>& exchange) {
+                handle(exchange);
+              }) {}
 
 void CallerPort::handle(const std::shared_ptr<HttpExchange>& exchange) {
   if (path_of(exchange->request().target) == kHealthPath) {
--- a/src/io/h2_session.cc
+++ b/src/io/h2_session.cc
@@ -226,14 +226,14 @@
       return;
     }
     writing_ = true;
-    asio::async_write(socket_, asio::buffer(out_),
-                      [self = shared_from_this()](error_code failed,
-                                                  std::size_t) {
-                        self->writing_ = false;
-                        if (self->closed_) return;
-                        if (failed) return self->close();
-                        self->flush();
-                      });
+    asio::async_write(
+        socket_, asio::buffer(out_),
+        [self = shared_from_this()](error_code failed, std::size_t) {
+          self->writing_ = false;
+          if (self->closed_) return;
+          if (failed) return self->close();
+          self->flush();
+        });
   }
 
   bool finished() const {
@@ -366,17 +366,16 @@
     return 0;
   }
 
-  static int data_chunk(nghttp2_session* session, std::uint8_t,
-                        std::int32_t id, const std::uint8_t* data,
-                        std::size_t size, void* user) {
+  static int data_chunk(nghttp2_session* session, std::uint8_t, std::int32_t id,
+                        const std::uint8_t* data, std::size_t size,
+                        void* user) {
     Session* self = of(user);
     Stream* stream = self->find(id);
     if (stream == nullptr) return 0;
     std::size_t most =
         self->client_ ? config::kMaxAnswerBytes : config::kMaxBodyBytes;
     if (stream->received.body.size() + size > most) {
-      nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id,
-                                NGHTTP2_CANCEL);
+      nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
       return 0;
     }
     stream->received.body.append(reinterpret_cast<const char*>(data), size);
@@ -386,8 +385,8 @@
   static int frame_received(nghttp2_session*, const nghttp2_frame* frame,
                             void* user) {
     Session* self = of(user);
-    bool carries_message = frame->hd.type == NGHTTP2_HEADERS ||
-                           frame->hd.type == NGHTTP2_DATA;
+    bool carries_message =
+        frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA;
     if (carries_message && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
       self->on_message_end(frame->hd.stream_id);
     }
@@ -469,8 +468,8 @@
 std::shared_ptr<H2Session> connect_h2(asio::io_context& io,
                                       const Endpoint& endpoint,
                                       H2Session::Handlers handlers) {
-  auto session = std::make_shared<Session>(tcp::socket(io),
-                                           std::move(handlers), true);
+  auto session =
+      std::make_shared<Session>(tcp::socket(io), std::move(handlers), true);
   session->start_client(endpoint);
   return session;
 }
--- a/src/io/histogram.cc
+++ b/src/io/histogram.cc
@@ -38,8 +38,8 @@
 }
 
 Duration Histogram::quantile(double q) const {
-  auto rank = static_cast<std::uint64_t>(
-      std::ceil(q * static_cast<double>(count_)));
+  auto rank =
+      static_cast<std::uint64_t>(std::ceil(q * static_cast<double>(count_)));
   std::uint64_t seen = 0;
   for (std::size_t i = 0; i < buckets_.size(); ++i) {
     seen += buckets_[i];
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -82,8 +82,9 @@
     timer_.expires_after(limit);
     timer_.async_wait([self = shared_from_this()](error_code failed) {
       if (failed || !self->done_) return;
-      self->fail(self->phase_ == Phase::kConnecting ? HttpFailureKind::kConnectTimeout
-                                                    : HttpFailureKind::kTimeout,
+      self->fail(self->phase_ == Phase::kConnecting
+                     ? HttpFailureKind::kConnectTimeout
+                     : HttpFailureKind::kTimeout,
                  "no answer in time");
     });
   }
@@ -124,11 +125,11 @@
     new_parser();
     auto held = std::make_shared<Request>(std::move(*message_));
     message_.reset();
-    http::async_write(socket_, *held,
-                      [self = shared_from_this(), held](
-                          error_code failed, std::size_t) {
-                        self->on_sent(failed);
-                      });
+    http::async_write(
+        socket_, *held,
+        [self = shared_from_this(), held](error_code failed, std::size_t) {
+          self->on_sent(failed);
+        });
     read_more();
   }
 
@@ -264,8 +265,8 @@
   while (!idle.empty()) {
     std::shared_ptr<HttpConnection> connection = std::move(idle.back());
     idle.pop_back();
-    if (connection->idle() && now - connection->last_answer() <
-                                  config::kReusableConnectionAge) {
+    if (connection->idle() &&
+        now - connection->last_answer() < config::kReusableConnectionAge) {
       return connection;
     }
     connection->close();
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -21,9 +21,9 @@
 enum class HttpFailureKind : std::uint8_t {
   kRefused,         ///< The connection was refused; nothing was sent.
   kConnectTimeout,  ///< No connection was made in time; nothing was sent.
-  kTimeout,    ///< Sent at least in part; no whole answer in time.
-  kClosed,     ///< Closed or reset before the first byte of an answer.
-  kTruncated,  ///< Closed, reset or unreadable after the first byte.
+  kTimeout,         ///< Sent at least in part; no whole answer in time.
+  kClosed,          ///< Closed or reset before the first byte of an answer.
+  kTruncated,       ///< Closed, reset or unreadable after the first byte.
 };
 
 struct HttpFailure {
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -62,6 +62,9 @@
   auto length_count = std::distance(lengths.first, lengths.second);
   auto encoding_count = std::distance(encodings.first, encodings.second);
   if (length_count > 1) return "repeated Content-Length";
+  if (length_count > 0 && !parse_number(lengths.first->value())) {
+    return "Content-Length is not a number";
+  }
   if (encoding_count > 1) return "repeated Transfer-Encoding";
   if (length_count > 0 && encoding_count > 0) {
     return "both Content-Length and Transfer-Encoding";
@@ -71,7 +74,7 @@
     return "Transfer-Encoding other than chunked";
   }
   if (encoding_count > 0 && head.version() < 11) {
-    return "Transfer-Encoding below HTTP/1.1";
+    return "Transfer-Encoding in an old HTTP version";
   }
   if (head.count(http::field::host) > 1) return "repeated Host";
   if (!head.target().starts_with('/')) return "target is not a path";
@@ -180,7 +183,8 @@
   void read_more() {
     if (reading_) return;
     reading_ = true;
-    std::size_t room = std::min(kReadChunk, buffer_.max_size() - buffer_.size());
+    std::size_t room =
+        std::min(kReadChunk, buffer_.max_size() - buffer_.size());
     socket_.async_read_some(
         buffer_.prepare(room),
         [self = shared_from_this()](error_code failed, std::size_t count) {
@@ -277,11 +281,11 @@
     limit(server_->options.receive_limit);
     auto held =
         std::make_shared<http::response<http::string_body>>(std::move(message));
-    http::async_write(socket_, *held,
-                      [self = shared_from_this(), held](
-                          error_code failed, std::size_t) {
-                        self->on_sent(failed);
-                      });
+    http::async_write(
+        socket_, *held,
+        [self = shared_from_this(), held](error_code failed, std::size_t) {
+          self->on_sent(failed);
+        });
   }
 
   void on_sent(error_code failed) {
@@ -360,8 +364,8 @@
 
 HttpServer::HttpServer(asio::io_context& io, HttpServerOptions options,
                        Handler handler)
-    : impl_(std::make_shared<Impl>(io, std::move(options),
-                                   std::move(handler))) {}
+    : impl_(
+          std::make_shared<Impl>(io, std::move(options), std::move(handler))) {}
 
 HttpServer::~HttpServer() { close(); }
 
@@ -380,9 +384,8 @@
   if (failed) {
     error_code ignored;
     acceptor.close(ignored);
-    return Error{ErrorCode::kUnavailable, "cannot listen on " +
-                                              endpoint.str() + ": " +
-                                              failed.message()};
+    return Error{ErrorCode::kUnavailable, "cannot listen on " + endpoint.str() +
+                                              ": " + failed.message()};
   }
   impl_->accept();
   return std::nullopt;
--- a/src/io/http_types.cc
+++ b/src/io/http_types.cc
@@ -108,8 +108,8 @@
   encoded.reserve(text.size());
   for (char c : text) {
     auto byte = static_cast<unsigned char>(c);
-    if (byte < 0x80 && (std::isalnum(byte) != 0 ||
-                        kPlain.find(c) != std::string_view::npos)) {
+    if (byte < 0x80 &&
+        (std::isalnum(byte) != 0 || kPlain.find(c) != std::string_view::npos)) {
       encoded += c;
       continue;
     }
@@ -124,8 +124,8 @@
   std::string decoded;
   decoded.reserve(text.size());
   for (std::size_t i = 0; i < text.size(); ++i) {
-    if (text[i] == '%' && i + 2 < text.size() &&
-        hex_value(text[i + 1]) >= 0 && hex_value(text[i + 2]) >= 0) {
+    if (text[i] == '%' && i + 2 < text.size() && hex_value(text[i + 1]) >= 0 &&
+        hex_value(text[i + 2]) >= 0) {
       decoded += static_cast<char>(hex_value(text[i + 1]) * 16 +
                                    hex_value(text[i + 2]));
       i += 2;
--- a/src/io/log.cc
+++ b/src/io/log.cc
@@ -49,11 +49,11 @@
                   : static_cast<int>(found - kLevelNames.begin());
   static bool sink_added = false;
   if (!sink_added) {
-    logging::add_console_log(std::cerr,
-                             logging::keywords::format =
-                                 logging::expressions::stream
-                                 << logging::expressions::smessage,
-                             logging::keywords::auto_flush = true);
+    logging::add_console_log(
+        std::cerr,
+        logging::keywords::format = logging::expressions::stream
+                                    << logging::expressions::smessage,
+        logging::keywords::auto_flush = true);
     sink_added = true;
   }
   logging::core::get()->set_filter(severity >= least);
@@ -72,8 +72,8 @@
 
 void log_line(LogLevel level, const LogFields& fields) {
   auto number = static_cast<int>(level);
-  auto now = std::chrono::time_point_cast<Duration>(
-      std::chrono::system_clock::now());
+  auto now =
+      std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
   BOOST_LOG_SEV(logger(), number)
       << "time_ms=" << to_ms(now)
       << " level=" << kLevelNames[static_cast<std::size_t>(number)] << ' '
--- a/src/io/metrics.cc
+++ b/src/io/metrics.cc
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr std::string_view kPrefix = "eelgrasspin_";
-constexpr int kLeastPower = 7;   // 128 us
-constexpr int kMostPower = 26;   // 67 s
+constexpr int kLeastPower = 7;  // 128 us
+constexpr int kMostPower = 26;  // 67 s
 constexpr double kMicrosecondsPerSecond = 1e6;
 
 void print_head(std::ostream& out, std::string_view name, std::string_view help,
--- a/src/io/object_store_http.cc
+++ b/src/io/object_store_http.cc
@@ -18,8 +18,8 @@
   if (const auto* failure = std::get_if<HttpFailure>(&result)) {
     return StoreUnavailable{failure->why};
   }
-  return StoreUnavailable{
-      "status " + std::to_string(std::get<HttpAnswer>(result).status)};
+  return StoreUnavailable{"status " +
+                          std::to_string(std::get<HttpAnswer>(result).status)};
 }
 
 std::optional<Version> version_header(const HttpAnswer& answer,
@@ -123,8 +123,11 @@
 void ObjectStoreHttp::write(const StoreKey& key, Version expected,
                             const Record& record, Callback done) {
   HeaderFields headers = {{"If-Version", std::to_string(expected.value)}};
-  calls_.call({"PUT", target("/store/", key), std::move(headers),
-               codec::encode_record(record), {}},
+  calls_.call({"PUT",
+               target("/store/", key),
+               std::move(headers),
+               codec::encode_record(record),
+               {}},
               config::kStoreTimeout,
               [key, done = std::move(done)](const HttpResult& result) {
                 done(write_answer(key, result));
--- a/src/io/operator_http.cc
+++ b/src/io/operator_http.cc
@@ -14,8 +14,10 @@
 constexpr std::size_t kMaxCommandIdBytes = 128;
 
 HttpAnswer text_answer(int status, std::string text) {
-  return {status, {{"Content-Type", "text/plain; charset=utf-8"}},
-          std::move(text), false};
+  return {status,
+          {{"Content-Type", "text/plain; charset=utf-8"}},
+          std::move(text),
+          false};
 }
 
 HttpAnswer findings_answer(const std::vector<Finding>& findings) {
@@ -78,10 +80,9 @@
     : tokens_(std::move(tokens)),
       run_name_(std::move(run_name)),
       handlers_(std::move(handlers)),
-      server_(io, {},
-              [this](const std::shared_ptr<HttpExchange>& exchange) {
-                handle(exchange);
-              }) {}
+      server_(io, {}, [this](const std::shared_ptr<HttpExchange>& exchange) {
+        handle(exchange);
+      }) {}
 
 void OperatorPort::reply(OperatorCallId call, const CommandAnswer& answer) {
   auto found = calls_.find(call);
@@ -107,7 +108,8 @@
   }
   auto name = authenticate(request.headers, tokens_);
   if (!name) {
-    HttpAnswer refused = text_answer(401, "a named operator's token is needed\n");
+    HttpAnswer refused =
+        text_answer(401, "a named operator's token is needed\n");
     refused.headers.emplace_back("WWW-Authenticate", "Bearer");
     return exchange->answer(std::move(refused));
   }
--- a/src/io/request_fields.cc
+++ b/src/io/request_fields.cc
@@ -152,10 +152,11 @@
   if (*outcome == Outcome::kUnknown) {
     return {AttemptUnknown{*reason, false}, nullptr};
   }
-  return {AttemptNotRun{
-              *reason, Duration(number_of(message, "eelgrasspin-retry-after-us")),
-              Epoch(number_of(message, "eelgrasspin-newer-epoch"))},
-          nullptr};
+  return {
+      AttemptNotRun{*reason,
+                    Duration(number_of(message, "eelgrasspin-retry-after-us")),
+                    Epoch(number_of(message, "eelgrasspin-newer-epoch"))},
+      nullptr};
 }
 
 }  // namespace eelgrasspin::io
--- a/src/io/shell.cc
+++ b/src/io/shell.cc
@@ -43,8 +43,7 @@
   constexpr std::size_t kGrantConnections = 1;
   ServerLimits limits;
   std::size_t half = server.connections / 2;
-  limits.connections =
-      half > kGrantConnections ? half - kGrantConnections : 1;
+  limits.connections = half > kGrantConnections ? half - kGrantConnections : 1;
   limits.connection_interval = server.connection_interval;
   auto service = declarations.services.find(server.service);
   if (service != declarations.services.end()) {
--- a/src/io/transport_h2.cc
+++ b/src/io/transport_h2.cc
@@ -127,9 +127,8 @@
   if (!failed) acceptor.bind(*address, failed);
   if (!failed) acceptor.listen(tcp::acceptor::max_listen_connections, failed);
   if (failed) {
-    return Error{ErrorCode::kUnavailable, "cannot listen on " +
-                                              endpoint.str() + ": " +
-                                              failed.message()};
+    return Error{ErrorCode::kUnavailable, "cannot listen on " + endpoint.str() +
+                                              ": " + failed.message()};
   }
   accept();
   return std::nullopt;
@@ -196,9 +195,8 @@
   }
   auto inbound =
       std::make_shared<Inbound>(link->session, stream, std::move(*decoded));
-  std::erase_if(link->open, [](const auto& item) {
-    return item.second.expired();
-  });
+  std::erase_if(link->open,
+                [](const auto& item) { return item.second.expired(); });
   link->open[stream] = inbound;
   handlers.on_request(inbound);
 }
@@ -224,13 +222,13 @@
   entry->session = session;
   forwarded[attempt] = entry;
   std::weak_ptr<Impl> weak = weak_from_this();
-  entry->stream = session->submit(
-      encode_request(request, self),
-      [weak, attempt](H2End end, H2Message message) {
-        if (auto impl = weak.lock()) {
-          impl->on_reply(attempt, end, std::move(message));
-        }
-      });
+  entry->stream =
+      session->submit(encode_request(request, self),
+                      [weak, attempt](H2End end, H2Message message) {
+                        if (auto impl = weak.lock()) {
+                          impl->on_reply(attempt, end, std::move(message));
+                        }
+                      });
   entry->limit.expires_after(request.time_left + kReplySlack);
   entry->limit.async_wait([weak, attempt](error_code failed) {
     auto impl = weak.lock();
@@ -244,10 +242,9 @@
     case H2End::kComplete:
       return finish(attempt, decode_reply(std::move(message)));
     case H2End::kNotProcessed:
-      return finish(
-          attempt,
-          {AttemptNotRun{Reason::kOwnerUnreachable, Duration(0), Epoch()},
-           nullptr});
+      return finish(attempt, {AttemptNotRun{Reason::kOwnerUnreachable,
+                                            Duration(0), Epoch()},
+                              nullptr});
     case H2End::kLost:
       return finish(attempt,
                     {AttemptUnknown{Reason::kConnectionLost, false}, nullptr});
@@ -297,10 +294,10 @@
 void TransportH2::send(const Endpoint& to, const PeerMessage& message) {
   auto session = impl_->session_to(to, false);
   if (session->open_streams() >= kMaxQueuedMessages) return;
-  session->submit({{{":method", "POST"}, {":scheme", "http"},
-                    {":path", "/message"}},
-                   codec::encode_message(message)},
-                  [](H2End, const H2Message&) {});
+  session->submit(
+      {{{":method", "POST"}, {":scheme", "http"}, {":path", "/message"}},
+       codec::encode_message(message)},
+      [](H2End, const H2Message&) {});
 }
 
 void TransportH2::forward(AttemptId attempt, const Endpoint& to,
--- a/src/standin/grants.cc
+++ b/src/standin/grants.cc
@@ -34,8 +34,9 @@
     answer_times_.erase(answer_times_.begin());
   }
   update_applied();
-  GrantAnswer answer{incarnation_, front_epoch_, order.sequence,
-                     set_version_, applied_set_version_, {}, running()};
+  GrantAnswer answer{incarnation_, front_epoch_,         order.sequence,
+                     set_version_, applied_set_version_, {},
+                     running()};
   if (order.want_inventory) {
     answer.inventory = set_version_ > 0 ? held_ : inventory_;
   }
--- a/src/standin/platform.cc
+++ b/src/standin/platform.cc
@@ -72,10 +72,10 @@
   if (path == "/-/vms") return handle_set_vms(exchange);
   if (path == "/-/stats") {
     json::object stats = {
-        {"reads", stats_.reads},         {"lists", stats_.lists},
-        {"writes", stats_.writes},       {"watches", stats_.watches},
-        {"vm_lists", stats_.vm_lists},   {"conflicts", stats_.conflicts},
-        {"limited", stats_.limited},     {"revision", revision_},
+        {"reads", stats_.reads},          {"lists", stats_.lists},
+        {"writes", stats_.writes},        {"watches", stats_.watches},
+        {"vm_lists", stats_.vm_lists},    {"conflicts", stats_.conflicts},
+        {"limited", stats_.limited},      {"revision", revision_},
         {"open_watches", watches_.size()}};
     return exchange->answer(text(200, json::serialize(stats) + "\n"));
   }
@@ -117,8 +117,8 @@
   ++stats_.reads;
   auto found = values_.find(key);
   bool present = found != values_.end() && !found->second.text.empty();
-  HttpAnswer result = text(present ? 200 : 404,
-                           present ? found->second.text : std::string());
+  HttpAnswer result =
+      text(present ? 200 : 404, present ? found->second.text : std::string());
   if (found != values_.end()) {
     add_number(result, "Store-Version", found->second.version);
   }
@@ -163,12 +163,13 @@
     const Value& value = it->second;
     if (value.version <= since) continue;
     if (value.text.empty() && !with_deleted) continue;
-    items.push_back(json::object{{"key", it->first},
-                                 {"version", value.version},
-                                 {"value", value.text}});
+    items.push_back(json::object{
+        {"key", it->first}, {"version", value.version}, {"value", value.text}});
   }
-  HttpAnswer result{200, {{"Content-Type", "application/json"}},
-                    json::serialize(items), false};
+  HttpAnswer result{200,
+                    {{"Content-Type", "application/json"}},
+                    json::serialize(items),
+                    false};
   add_number(result, "Store-Revision", revision_);
   return result;
 }
--- a/src/standin/server.cc
+++ b/src/standin/server.cc
@@ -156,11 +156,10 @@
       std::max(most_running_, static_cast<std::uint32_t>(running_.size()));
   job->execution = executions_.size();
   const HttpRequest& request = job->request;
-  executions_.push_back({header_text(request, "eelgrasspin-request"),
-                         header_text(request, "idempotency-key"),
-                         job->key.str(), request.method, request.target,
-                         job->slot, job->epoch, wall_now(), std::nullopt,
-                         false});
+  executions_.push_back(
+      {header_text(request, "eelgrasspin-request"),
+       header_text(request, "idempotency-key"), job->key.str(), request.method,
+       request.target, job->slot, job->epoch, wall_now(), std::nullopt, false});
   Duration work = work_time();
   job->timer.expires_after(std::min(work, options_.execution_limit));
   job->timer.async_wait([this, job](boost::system::error_code failed) {
--- a/tests/caller_port_test.cc
+++ b/tests/caller_port_test.cc
@@ -116,7 +116,8 @@
   for (const BadInput& bad : bad_inputs()) {
     SCOPED_TRACE(bad.name);
     std::string received = exchange_raw(bad.text);
-    EXPECT_EQ(received.substr(0, 13), std::string("HTTP/1.1 ") + bad.status + " ");
+    EXPECT_EQ(received.substr(0, 13),
+              std::string("HTTP/1.1 ") + bad.status + " ");
     EXPECT_NE(received.find("Eelgrasspin-Outcome: not run"), std::string::npos);
     EXPECT_EQ(received.find("HTTP/1.1", 1), std::string::npos);
     EXPECT_TRUE(heads_.empty());
@@ -144,7 +145,8 @@
   std::string head = "GET /panboard/x HTTP/1.1\r\nConnection: close\r\n";
   for (const std::string& field : std::vector<std::string>{
            "Eelgrasspin-Deadline-Ms: 0", "Eelgrasspin-Deadline-Ms: soon",
-           "Eelgrasspin-Deadline-Ms: 999999999999", "Eelgrasspin-Deadline-Ms: -5",
+           "Eelgrasspin-Deadline-Ms: 999999999999",
+           "Eelgrasspin-Deadline-Ms: -5",
            "Idempotency-Key: a\r\nIdempotency-Key: b",
            "Eelgrasspin-Caller: " + std::string(200, 'c')}) {
     SCOPED_TRACE(field);
--- a/tests/io_test_util.h
+++ b/tests/io_test_util.h
@@ -68,8 +68,7 @@
   bool read_some(std::string& received) {
     char part[4096];
     boost::system::error_code failed;
-    std::size_t count =
-        socket_.read_some(boost::asio::buffer(part), failed);
+    std::size_t count = socket_.read_some(boost::asio::buffer(part), failed);
     received.append(part, count);
     return !failed || failed == boost::asio::error::would_block;
   }
--- a/tools/eelstandin/main.cc
+++ b/tools/eelstandin/main.cc
@@ -46,10 +46,9 @@
 
 void wait_for_signal(boost::asio::io_context& io) {
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait(
-      [&io](boost::system::error_code failed, int /*number*/) {
-        if (!failed) io.stop();
-      });
+  signals.async_wait([&io](boost::system::error_code failed, int /*number*/) {
+    if (!failed) io.stop();
+  });
   io.run();
 }
 
