--- a/src/io/endpoint.cc
+++ b/src/io/endpoint.cc
@@ -16,7 +16,7 @@
   if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
     host = host.substr(1, host.size() - 2);
   }
-  auto port = parse_number(std::string_view(text).substr(colon + 1));
+  auto port = parse_number(text.substr(colon + 1));
   if (!port || *port > std::numeric_limits<std::uint16_t>::max()) {
     return std::nullopt;
   }
--- a/src/io/h2_session.cc
+++ b/src/io/h2_session.cc
@@ -18,7 +18,7 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
-using tcp = asio::ip::tcp;
+using asio::ip::tcp;
 
 namespace {
 
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -17,7 +17,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using tcp = asio::ip::tcp;
+using asio::ip::tcp;
 
 namespace {
 
@@ -274,7 +274,8 @@
   return make_http_connection(io_, endpoint_);
 }
 
-void HttpClient::call(HttpRequest request, Duration limit, HttpCallback done) {
+void HttpClient::call(const HttpRequest& request, Duration limit,
+                      HttpCallback done) {
   auto connection = take();
   std::weak_ptr<std::vector<std::shared_ptr<HttpConnection>>> pool =
       connections_;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -71,7 +71,7 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  void call(HttpRequest request, Duration limit, HttpCallback done);
+  void call(const HttpRequest& request, Duration limit, HttpCallback done);
   const Endpoint& endpoint() const { return endpoint_; }
 
  private:
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -17,7 +17,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using tcp = asio::ip::tcp;
+using asio::ip::tcp;
 
 namespace {
 constexpr std::size_t kReadChunk = 16 * 1024;
--- a/src/io/object_store_http.cc
+++ b/src/io/object_store_http.cc
@@ -72,7 +72,8 @@
       !key->is_string() || !text->is_string() || !version->is_int64()) {
     return std::nullopt;
   }
-  StoreKey store_key(std::string_view(key->get_string()));
+  std::string_view key_text = key->get_string();
+  StoreKey store_key(key_text);
   Version number(static_cast<std::uint64_t>(version->get_int64()));
   return decode_entry(store_key, number, text->get_string());
 }
--- a/tests/backend_calls_test.cc
+++ b/tests/backend_calls_test.cc
@@ -20,12 +20,12 @@
                   .work = milliseconds(2)});
   }
 
-  void start_server(standin::ServerOptions options) {
+  void start_server(const standin::ServerOptions& options) {
     server_ = std::make_unique<standin::BackendServer>(io_, options);
     EXPECT_FALSE(server_->listen(kAnyPort));
   }
 
-  GrantReply order(GrantOrder order) {
+  GrantReply order(const GrantOrder& order) {
     std::optional<GrantReply> reply;
     control_.order(ServerName("panboard-01"), server_->local(), order,
                    [&](GrantReply answer) { reply = std::move(answer); });
--- a/tests/caller_port_test.cc
+++ b/tests/caller_port_test.cc
@@ -10,7 +10,7 @@
 class CallerPortTest : public ::testing::Test {
  protected:
   CallerPortTest()
-      : port_(io_, {[this](CallerRequest request,
+      : port_(io_, {[this](const CallerRequest& request,
                            const std::shared_ptr<HttpExchange>& exchange) {
                       heads_.push_back(request.head);
                       if (hold_) {
--- a/tools/eelstandin/main.cc
+++ b/tools/eelstandin/main.cc
@@ -13,7 +13,6 @@
 
 namespace options = boost::program_options;
 using eelgrasspin::Endpoint;
-using eelgrasspin::Error;
 using eelgrasspin::milliseconds;
 using eelgrasspin::ServerName;
 
