--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -78,9 +78,22 @@
 inline constexpr std::size_t kRefusalSamples = 16;
 inline constexpr std::uint32_t kQuarantineStrikes = 2;
 inline constexpr Duration kQuarantineTime = minutes(10);
+/// Deaths of one server's connections within this count once for a request.
+inline constexpr Duration kStrikeWindow = milliseconds(500);
+inline constexpr Duration kStrikeResendInterval = milliseconds(250);
+inline constexpr std::uint32_t kStrikeTries = 4;
+inline constexpr std::size_t kMaxQuarantineEntries = 1024;
 inline constexpr Duration kIntentRetention = minutes(10);
 inline constexpr Duration kIntentCommitInterval = milliseconds(5);
 inline constexpr std::size_t kIntentSegmentEntries = 512;
+/// Outcomes of intents are written together, at most this often.
+inline constexpr Duration kIntentOutcomeInterval = milliseconds(200);
+/// A message to the ledger writer is sent again after this.
+inline constexpr Duration kIntentResendInterval = milliseconds(250);
+/// Outcomes are told this often before a front gives up; repeats are then told
+/// "unknown".
+inline constexpr std::uint32_t kIntentOutcomeTries = 8;
+inline constexpr Duration kIntentExpiryInterval = seconds(10);
 
 // Streams between daemons.
 inline constexpr Duration kPingInterval = milliseconds(500);
--- a/include/eelgrasspin/outcome.h
+++ b/include/eelgrasspin/outcome.h
@@ -43,6 +43,8 @@
   kTruncatedAnswer,
   kRetryBudgetSpent,
   kServerFailed,
+  kRepeatAnswered,  ///< The operation was answered before, under the same
+                    ///< idempotency key; this repeat did not run.
   kCount,
 };
 
--- a/include/eelgrasspin/peer_message.h
+++ b/include/eelgrasspin/peer_message.h
@@ -119,8 +119,9 @@
 struct IntentBatch {
   DaemonName daemon;
   Endpoint address;
-  std::uint64_t batch = 0;
+  std::uint64_t batch = 0;  ///< No two batches of any daemon share one.
   std::vector<Intent> intents;
+  ZoneName zone;  ///< Whose ledger is meant.
 
   bool operator==(const IntentBatch&) const = default;
 };
@@ -142,10 +143,14 @@
   bool operator==(const IntentBatchAnswer&) const = default;
 };
 
-/// Front to its zone's ledger writer: how recorded intents ended.
+/// Front to its zone's ledger writer: how recorded intents ended. Answered by
+/// an IntentBatchAnswer without verdicts.
 struct IntentOutcomes {
   DaemonName daemon;
   std::vector<Intent> intents;
+  Endpoint address;
+  std::uint64_t batch = 0;
+  ZoneName zone;  ///< Whose ledger is meant.
 
   bool operator==(const IntentOutcomes&) const = default;
 };
@@ -155,6 +160,7 @@
   DaemonName daemon;
   QuarantineEntry entry;
   std::uint64_t event = 0;  ///< Makes repeats of this message count once.
+  ZoneName zone;            ///< Of the daemon; whose list is meant.
 
   bool operator==(const StrikeReport&) const = default;
 };
--- a/include/eelgrasspin/records.h
+++ b/include/eelgrasspin/records.h
@@ -134,6 +134,8 @@
   IntentState state = IntentState::kIntended;
   std::uint16_t status = 0;  ///< HTTP status of the answer, when answered.
   WallTime recorded;
+  std::uint64_t ticket = 0;  ///< Of the request that recorded it; no two share
+                             ///< one.
 
   bool operator==(const Intent&) const = default;
 };
--- a/include/eelgrasspin/request.h
+++ b/include/eelgrasspin/request.h
@@ -50,6 +50,8 @@
   Duration retry_after{0};
   Epoch newer_epoch;  ///< The refusing daemon knows an epoch at least this high
                       ///< for the slot.
+  std::uint16_t earlier_status =
+      0;  ///< With kRepeatAnswered: HTTP status of the recorded answer.
 };
 
 /// Sent, and no whole answer was seen.
--- a/src/core/effect.h
+++ b/src/core/effect.h
@@ -102,6 +102,8 @@
   Reason reason = Reason::kNone;
   Duration retry_after{0};
   Epoch newer_epoch;
+  std::uint16_t earlier_status =
+      0;  ///< With kRepeatAnswered: HTTP status of the recorded answer.
 };
 
 struct ReplyOperator {
--- a/src/core/names.cc
+++ b/src/core/names.cc
@@ -58,7 +58,8 @@
                                                 "connection_lost",
                                                 "truncated_answer",
                                                 "retry_budget_spent",
-                                                "server_failed"};
+                                                "server_failed",
+                                                "repeat_answered"};
   static_assert(std::size(kNames) == static_cast<std::size_t>(Reason::kCount));
   return kNames[static_cast<std::size_t>(reason)];
 }
@@ -77,6 +78,7 @@
     case Reason::kBodyTooLarge:
       return 413;
     case Reason::kRepeatInProgress:
+    case Reason::kRepeatAnswered:
       return 409;
     case Reason::kServiceClosed:
       return 410;
--- a/src/core/request/entry.cc
+++ b/src/core/request/entry.cc
@@ -100,22 +100,6 @@
          result.reason != Reason::kServerFailed && now.mono < request.deadline;
 }
 
-Refusal expiry_of(const OpenRequest& request) {
-  switch (request.stage) {
-    case Stage::kHeld:
-      return {.reason = request.last_refusal};
-    case Stage::kQueued:
-      return {.reason = request.last_refusal == Reason::kNone
-                            ? Reason::kDeadlinePassed
-                            : request.last_refusal};
-    case Stage::kAtServer:
-    case Stage::kAtFront:
-      return {.outcome = Outcome::kUnknown,
-              .reason = Reason::kTimeoutAfterSend};
-  }
-  return {};
-}
-
 }  // namespace
 
 void on_arrived(core::State& state, const RequestArrived& arrived, Now now,
@@ -174,7 +158,8 @@
                             const AttemptResult& result, Now now,
                             Effects& effects) {
   if (std::holds_alternative<AttemptAnswered>(result)) {
-    end_answered(state, request, request.attempt, now, effects);
+    end_answered(state, request, std::get<AttemptAnswered>(result), now,
+                 effects);
   } else if (const auto* not_run = std::get_if<AttemptNotRun>(&result)) {
     on_not_run(state, request, *not_run, now, effects);
   } else {
@@ -192,7 +177,8 @@
   end_refused(state, request,
               {.reason = result.reason,
                .retry_after = result.retry_after,
-               .newer_epoch = known_epoch(state, request)},
+               .newer_epoch = known_epoch(state, request),
+               .earlier_status = result.earlier_status},
               now, effects);
 }
 
@@ -212,6 +198,27 @@
               now, effects);
 }
 
+Refusal expiry_of(const OpenRequest& request) {
+  switch (request.stage) {
+    case Stage::kHeld:
+      return {.reason = request.last_refusal};
+    case Stage::kWithdrawing:
+      return {.reason = Reason::kMoved};
+    case Stage::kQueued:
+      if (request.intent == IntentPhase::kWanted ||
+          request.intent == IntentPhase::kAsked)
+        return {.reason = Reason::kIntentNotRecorded};
+      return {.reason = request.last_refusal == Reason::kNone
+                            ? Reason::kDeadlinePassed
+                            : request.last_refusal};
+    case Stage::kAtServer:
+    case Stage::kAtFront:
+      return {.outcome = Outcome::kUnknown,
+              .reason = Reason::kTimeoutAfterSend};
+  }
+  return {};
+}
+
 void expire_requests(core::State& state, Now now, Effects& effects) {
   std::vector<RequestId> due;
   for (const auto& [id, request] : state.request.open) {
--- a/src/core/request/entry.h
+++ b/src/core/request/entry.h
@@ -3,6 +3,7 @@
 
 #include "core/effect.h"
 #include "core/event.h"
+#include "core/request/lifecycle.h"
 #include "core/request/state.h"
 #include "eelgrasspin/units.h"
 
@@ -38,6 +39,9 @@
 void on_unknown(core::State& state, OpenRequest& request,
                 const AttemptUnknown& result, Now now, Effects& effects);
 
+/// How a request ends when its deadline passes now.
+Refusal expiry_of(const OpenRequest& request);
+
 /// Ends requests whose deadline has passed.
 void expire_requests(core::State& state, Now now, Effects& effects);
 
--- a/src/core/request/front_queue.cc
+++ b/src/core/request/front_queue.cc
@@ -5,7 +5,9 @@
 
 #include "core/ownership/ownership.h"
 #include "core/request/entry.h"
+#include "core/request/intents.h"
 #include "core/request/lifecycle.h"
+#include "core/request/quarantine.h"
 #include "core/request/requests.h"
 #include "core/state.h"
 
@@ -14,6 +16,7 @@
 
 /// What a look through a queue found.
 struct Scan {
+  std::vector<RequestId> quarantined;
   std::vector<RequestId> expired;
   std::vector<RequestId> gone;
   std::optional<RequestId> next;
@@ -47,6 +50,10 @@
     scan.expired.push_back(id);
     return false;
   }
+  if (is_quarantined(state, request.fingerprint, now)) {
+    scan.quarantined.push_back(id);
+    return false;
+  }
   ownership::SendCheck check =
       ownership::check_send(state, server, request.slot, request.key, now);
   if (check.permission == ownership::SendPermission::kGone)
@@ -107,7 +114,17 @@
   for (RequestId id : ids) {
     OpenRequest* request = find_open(state, id);
     if (request == nullptr) continue;
-    end_refused(state, *request, {.reason = Reason::kDeadlinePassed}, now,
+    end_refused(state, *request, expiry_of(*request), now, effects);
+  }
+}
+
+void end_quarantined(core::State& state, const std::vector<RequestId>& ids,
+                     Now now, Effects& effects) {
+  for (RequestId id : ids) {
+    OpenRequest* request = find_open(state, id);
+    if (request == nullptr) continue;
+    ++state.counters[Counter::kQuarantineRefusals];
+    end_refused(state, *request, {.reason = Reason::kQuarantined}, now,
                 effects);
   }
 }
@@ -118,6 +135,7 @@
     OpenRequest* request = find_open(state, id);
     if (request == nullptr) continue;
     remove_queued(state, *request);
+    if (withdraw_intent(state, *request)) continue;
     request->stage = Stage::kHeld;
     ++state.request.held;
     on_not_run(state, *request, {.reason = Reason::kMoved}, now, effects);
@@ -184,6 +202,11 @@
              Now now, Effects& effects) {
   auto entry = state.request.queues.try_emplace(server).first;
   FrontQueue& queue = entry->second;
+  if (is_quarantined(state, request.fingerprint, now)) {
+    ++state.counters[Counter::kQuarantineRefusals];
+    end_refused(state, request, {.reason = Reason::kQuarantined}, now, effects);
+    return;
+  }
   std::uint32_t limit = queue_limit(state, request.head.service);
   if (queue.size >= limit &&
       !make_room(state, queue, request.head.caller, limit, now, effects)) {
@@ -195,6 +218,11 @@
   request.server = server;
   queue.waiting[request.head.caller].push_back(request.id);
   ++queue.size;
+  if (!want_intent(state, request)) {
+    end_refused(state, request, {.reason = Reason::kRepeatInProgress}, now,
+                effects);
+    return;
+  }
   pump(state, entry->first, now, effects);
 }
 
@@ -215,6 +243,7 @@
   while (queue.size > 0) {
     Scan scan = scan_queue(state, server, queue, now);
     end_expired(state, scan.expired, now, effects);
+    end_quarantined(state, scan.quarantined, now, effects);
     send_away(state, scan.gone, now, effects);
     bool free = queue.occupied.size() < concurrency;
     if (!scan.next || !free || now.mono < queue.paused_until) return;
@@ -234,8 +263,10 @@
                              Effects& effects) {
   ServerName server = request.server;
   release_occupancy(state, request, result);
+  note_suspect(state, request, result, now);
   if (std::holds_alternative<AttemptAnswered>(result)) {
-    end_answered(state, request, request.attempt, now, effects);
+    end_answered(state, request, std::get<AttemptAnswered>(result), now,
+                 effects);
   } else if (const auto* not_run = std::get_if<AttemptNotRun>(&result)) {
     if (pauses_queue(not_run->reason)) {
       request.last_refusal = not_run->reason;
--- a/src/core/request/lifecycle.cc
+++ b/src/core/request/lifecycle.cc
@@ -2,6 +2,7 @@
 
 #include "core/request/accounts.h"
 #include "core/request/front_queue.h"
+#include "core/request/intents.h"
 #include "core/state.h"
 
 namespace eelgrasspin::core::request {
@@ -24,9 +25,10 @@
   return it == state.request.open.end() ? nullptr : &it->second;
 }
 
-void end_answered(core::State& state, OpenRequest& request, AttemptId attempt,
-                  Now now, Effects& effects) {
-  effects.push_back(RelayAnswer{request.id, attempt});
+void end_answered(core::State& state, OpenRequest& request,
+                  const AttemptAnswered& answer, Now now, Effects& effects) {
+  effects.push_back(RelayAnswer{request.id, request.attempt});
+  end_intent(state, request, Outcome::kAnswered, answer.status);
   count_end(state, request, Outcome::kAnswered, Reason::kNone, now);
   forget(state, request);
 }
@@ -35,7 +37,9 @@
                  Now now, Effects& effects) {
   if (request.maybe_ran) refusal.outcome = Outcome::kUnknown;
   effects.push_back(RefuseRequest{request.id, refusal.outcome, refusal.reason,
-                                  refusal.retry_after, refusal.newer_epoch});
+                                  refusal.retry_after, refusal.newer_epoch,
+                                  refusal.earlier_status});
+  end_intent(state, request, refusal.outcome, 0);
   count_end(state, request, refusal.outcome, refusal.reason, now);
   forget(state, request);
 }
@@ -44,9 +48,10 @@
                    Effects& effects) {
   bool sent = request.stage == Stage::kAtServer ||
               request.stage == Stage::kAtFront || request.maybe_ran;
+  Outcome outcome = sent ? Outcome::kUnknown : Outcome::kNotRun;
   cancel_attempt(state, request, effects);
-  count_end(state, request, sent ? Outcome::kUnknown : Outcome::kNotRun,
-            Reason::kCancelled, now);
+  end_intent(state, request, outcome, 0);
+  count_end(state, request, outcome, Reason::kCancelled, now);
   forget(state, request);
 }
 
--- a/src/core/request/lifecycle.h
+++ b/src/core/request/lifecycle.h
@@ -18,13 +18,14 @@
   Reason reason = Reason::kNone;
   Duration retry_after{0};
   Epoch newer_epoch;
+  std::uint16_t earlier_status = 0;
 };
 
 OpenRequest* find_open(core::State& state, RequestId id);
 
 /// Relays the attempt's answer to whoever sent the request.
-void end_answered(core::State& state, OpenRequest& request, AttemptId attempt,
-                  Now now, Effects& effects);
+void end_answered(core::State& state, OpenRequest& request,
+                  const AttemptAnswered& answer, Now now, Effects& effects);
 
 /// Tells whoever sent the request that it ended without an answer. A request
 /// with an earlier attempt of unknown outcome is never told "not run".
--- a/src/core/request/requests.cc
+++ b/src/core/request/requests.cc
@@ -1,8 +1,13 @@
 #include "core/request/requests.h"
 
+#include <utility>
+
 #include "core/request/entry.h"
 #include "core/request/front_queue.h"
+#include "core/request/intents.h"
+#include "core/request/ledger.h"
 #include "core/request/lifecycle.h"
+#include "core/request/quarantine.h"
 #include "core/state.h"
 
 namespace eelgrasspin::core::request {
@@ -24,6 +29,28 @@
   if (request != nullptr) end_cancelled(state, *request, now, effects);
 }
 
+void on_message(core::State& state, const PeerMessage& message, Now now,
+                Effects& effects) {
+  if (const auto* batch = std::get_if<IntentBatch>(&message))
+    on_intent_batch(state, *batch, now, effects);
+  else if (const auto* answer = std::get_if<IntentBatchAnswer>(&message))
+    on_intent_answer(state, *answer, now, effects);
+  else if (const auto* outcomes = std::get_if<IntentOutcomes>(&message))
+    on_intent_outcomes(state, *outcomes, effects);
+  else if (const auto* strike = std::get_if<StrikeReport>(&message))
+    on_strike_report(state, *strike);
+}
+
+/// Handles what this daemon sends to itself until nothing is left.
+void drain_to_self(core::State& state, Now now, Effects& effects) {
+  while (!state.request.to_self.empty()) {
+    std::vector<PeerMessage> messages =
+        std::exchange(state.request.to_self, {});
+    for (const PeerMessage& message : messages)
+      on_message(state, message, now, effects);
+  }
+}
+
 /// Takes the steps that a newer map, a grant or the passing of time allows.
 void settle(core::State& state, const Event& event, bool routes_changed,
             Now now, Effects& effects) {
@@ -36,9 +63,26 @@
   if (tick || routes_changed || granted) pump_all(state, now, effects);
 }
 
+std::string stage_text(Stage stage) {
+  switch (stage) {
+    case Stage::kHeld:
+      return "held";
+    case Stage::kQueued:
+      return "queued";
+    case Stage::kAtServer:
+      return "at_server";
+    case Stage::kAtFront:
+      return "at_front";
+    case Stage::kWithdrawing:
+      return "withdrawing";
+  }
+  return "held";
+}
+
 }  // namespace
 
 void step(core::State& state, const Event& event, Now now, Effects& effects) {
+  refresh_quarantine(state);
   bool routes_changed = refresh_routing(state.request.routing, state.cache);
   if (const auto* arrived = std::get_if<RequestArrived>(&event))
     on_arrived(state, *arrived, now, effects);
@@ -46,7 +90,25 @@
     on_attempt_ended(state, *ended, now, effects);
   else if (const auto* cancelled = std::get_if<RequestCancelled>(&event))
     on_cancelled(state, *cancelled, now, effects);
+  else if (const auto* message = std::get_if<PeerReceived>(&event))
+    on_message(state, message->message, now, effects);
   settle(state, event, routes_changed, now, effects);
+  step_ledgers(state, event, now, effects);
+  flush_intents(state, now, effects);
+  step_quarantine(state, now, effects);
+  drain_to_self(state, now, effects);
+}
+
+std::vector<OpenRequestRow> open_request_list(const core::State& state, Now now,
+                                              std::size_t limit) {
+  std::vector<OpenRequestRow> rows;
+  for (const auto& [id, request] : state.request.open) {
+    if (rows.size() == limit) break;
+    rows.push_back({request.head.service, request.key, request.operation,
+                    request.head.caller, stage_text(request.stage),
+                    now.mono - request.arrived, request.server});
+  }
+  return rows;
 }
 
 ServerLoad server_load(const core::State& /*state*/,
--- a/src/core/request/requests.h
+++ b/src/core/request/requests.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
+#include <vector>
 
 #include "core/effect.h"
 #include "core/event.h"
@@ -37,6 +39,24 @@
 std::map<ServiceName, DaemonAccount> accounts(const core::State& state,
                                               Now now);
 
+/// Lifts a quarantine in the zones this daemon coordinates. Repeats are
+/// harmless.
+void order_release(core::State& state, std::uint64_t fingerprint);
+
+/// An open request, for operators.
+struct OpenRequestRow {
+  ServiceName service;
+  Key key;
+  std::string operation;
+  CallerName caller;
+  std::string stage;
+  Duration age{0};
+  ServerName server;  ///< Empty while it has none.
+};
+/// The oldest open requests.
+std::vector<OpenRequestRow> open_request_list(const core::State& state, Now now,
+                                              std::size_t limit);
+
 /// Requests of any kind that have not ended.
 std::uint64_t open_requests(const core::State& state);
 
--- a/src/core/request/state.h
+++ b/src/core/request/state.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string>
 
+#include "core/request/intent_state.h"
+#include "core/request/quarantine_state.h"
 #include "core/request/routing.h"
 #include "eelgrasspin/ids.h"
 #include "eelgrasspin/records.h"
@@ -19,10 +21,11 @@
 
 /// Where an open request is.
 enum class Stage : std::uint8_t {
-  kHeld,      ///< At its entry, without a usable owner.
-  kQueued,    ///< In the queue of a backend server's front.
-  kAtServer,  ///< Sent to the backend server.
-  kAtFront,   ///< Sent to the daemon that is the owner's front.
+  kHeld,         ///< At its entry, without a usable owner.
+  kQueued,       ///< In the queue of a backend server's front.
+  kAtServer,     ///< Sent to the backend server.
+  kAtFront,      ///< Sent to the daemon that is the owner's front.
+  kWithdrawing,  ///< Left its queue; the ledger is told that it did not run.
 };
 
 /// How far the record of an at-most-once intent is.
@@ -94,6 +97,11 @@
   std::map<ServerName, FrontQueue> queues;
   std::map<ServiceName, ServiceBook> books;
   std::uint64_t next_attempt = 1;
+  IntentClient intents;
+  std::map<ZoneName, ZoneLedger> ledgers;
+  Quarantine quarantine;
+  /// Messages of this daemon to itself, handled within the same event.
+  std::vector<PeerMessage> to_self;
 };
 
 }  // namespace eelgrasspin::core::request
