--- a/src/codec/message_fields_p.h
+++ b/src/codec/message_fields_p.h
@@ -158,6 +158,7 @@
   a("address", v.address);
   a("batch", v.batch);
   a("intents", v.intents);
+  a("zone", v.zone);
 }
 
 template <class A>
@@ -176,6 +177,9 @@
 void fields(A& a, Like<A, IntentOutcomes>& v) {
   a("daemon", v.daemon);
   a("intents", v.intents);
+  a("address", v.address);
+  a("batch", v.batch);
+  a("zone", v.zone);
 }
 
 template <class A>
@@ -183,6 +187,7 @@
   a("daemon", v.daemon);
   a("entry", v.entry);
   a("event", v.event);
+  a("zone", v.zone);
 }
 
 template <class A>
--- a/src/codec/record_fields_p.h
+++ b/src/codec/record_fields_p.h
@@ -101,6 +101,7 @@
   a("state", v.state);
   a("status", v.status);
   a("recorded", v.recorded);
+  a("ticket", v.ticket);
 }
 
 template <class A>
--- a/src/core/request/quarantine.cc
+++ b/src/core/request/quarantine.cc
@@ -125,8 +125,8 @@
     entry->until = std::max(entry->until, reported.until);
     if (entry->strikes != config::kQuarantineStrikes) return;
     record(state,
-           {.kind = TimelineKind::kQuarantined,
-            .zone = list.zone,
+           {.zone = list.zone,
+            .kind = TimelineKind::kQuarantined,
             .service = entry->service,
             .cause = "strikes",
             .detail = entry->operation + " " + entry->key.str()},
@@ -139,8 +139,8 @@
   const QuarantineEntry* entry = find_entry(list, fingerprint);
   if (entry != nullptr) {
     record(state,
-           {.kind = TimelineKind::kQuarantineReleased,
-            .zone = list.zone,
+           {.zone = list.zone,
+            .kind = TimelineKind::kQuarantineReleased,
             .service = entry->service,
             .cause = "operator",
             .detail = entry->operation + " " + entry->key.str()},
