--- /dev/null
+++ b/tests/request_world.h
@@ -0,0 +1,100 @@
+#ifndef EELGRASSPIN_TESTS_REQUEST_WORLD_H_
+#define EELGRASSPIN_TESTS_REQUEST_WORLD_H_
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "scenario/checks.h"
+#include "scenario/world.h"
+
+/// A deployment on virtual time for tests of the request path: two zones of one
+/// region with two daemons each, and one service.
+namespace eelgrasspin::fixtures {
+
+inline const ServiceName kBook("dispatchbook");
+inline const std::vector<DaemonName> kDaemons{
+    DaemonName("gongoni-1"), DaemonName("gongoni-2"), DaemonName("marereni-1"),
+    DaemonName("marereni-2")};
+
+inline Declarations book_declarations(int servers_per_zone) {
+  Declarations all;
+  all.deployment = "test";
+  ServiceDeclaration service{.name = kBook, .key_slots = 16};
+  service.deadline = milliseconds(1000);
+  service.execution_limit = milliseconds(300);
+  service.operations = {
+      {"read", "GET", "/dispatches/{key}", ExecutionClass::kRead},
+      {"note", "PUT", "/dispatches/{key}", ExecutionClass::kIdempotent},
+      {"lodge", "POST", "/dispatches/{key}", ExecutionClass::kAtMostOnce}};
+  all.services[kBook] = service;
+  for (const char* zone : {"gongoni", "marereni"}) {
+    all.zones[ZoneName(zone)] = {ZoneName(zone), RegionName("kilifi")};
+    for (int i = 1; i <= servers_per_zone; ++i) {
+      ServerName name(std::string(zone) + "-book-" + std::to_string(i));
+      all.servers[name] = {.name = name,
+                           .service = kBook,
+                           .zone = ZoneName(zone),
+                           .address = Endpoint(name.str())};
+    }
+  }
+  return all;
+}
+
+/// The deployment after its start: every slot has an owner.
+inline scenario::World book_world(const Declarations& declarations,
+                                  std::uint64_t seed = 1,
+                                  core::Guards guards = {}) {
+  scenario::World world = scenario::make_world(declarations, seed);
+  scenario::put_declarations(world, declarations);
+  for (const DaemonName& daemon : kDaemons) {
+    ZoneName zone(daemon.str().substr(0, daemon.str().find('-')));
+    scenario::add_daemon(world, daemon, zone, guards);
+    scenario::start_daemon(world, daemon);
+  }
+  scenario::run_for(world, seconds(20));
+  return world;
+}
+
+inline RequestHead book_head(const std::string& method, int key,
+                             const std::string& idempotency_key = "",
+                             std::uint64_t body_hash = 1) {
+  RequestHead head;
+  head.service = kBook;
+  head.method = method;
+  head.path = "/dispatches/lorry-" + std::to_string(key);
+  head.caller = CallerName("clerk");
+  head.idempotency_key = idempotency_key;
+  head.body_hash = body_hash;
+  return head;
+}
+
+/// "answered", "not run: quarantined" ...
+inline std::string end_of(const scenario::World& world,
+                          scenario::Serial serial) {
+  const scenario::CallerRequest& request = world.requests.at(serial);
+  if (!request.outcome) return "open";
+  std::string text(to_string(*request.outcome));
+  if (request.reason == Reason::kNone) return text;
+  return text + ": " + std::string(to_string(request.reason));
+}
+
+inline std::uint64_t runs_of(const scenario::World& world,
+                             const std::string& idempotency_key) {
+  std::uint64_t runs = 0;
+  for (const scenario::Execution& execution : world.executions) {
+    const scenario::CallerRequest& request =
+        world.requests.at(execution.serial);
+    runs += request.head.idempotency_key == idempotency_key ? 1 : 0;
+  }
+  return runs;
+}
+
+inline void expect_promises(scenario::World& world) {
+  EXPECT_EQ(scenario::check_run(world), std::vector<std::string>());
+}
+
+}  // namespace eelgrasspin::fixtures
+
+#endif  // EELGRASSPIN_TESTS_REQUEST_WORLD_H_
