--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -17,7 +17,7 @@
 
 // Coordinator lease, in the store.
 inline constexpr Duration kCoordinatorTerm = milliseconds(2000);
-inline constexpr Duration kCoordinatorRenewInterval = milliseconds(600);
+inline constexpr Duration kCoordinatorRenewInterval = milliseconds(500);
 /// Allowance for two clocks running at different rates, on every lease.
 inline constexpr Duration kLeaseMargin = milliseconds(100);
 /// Silence of the coordinator after which a daemon of its zone reads the lease
@@ -27,6 +27,11 @@
 /// Extra wait before a daemon of another zone of the region stands for an empty
 /// zone's coordinator.
 inline constexpr Duration kForeignCandidateDelay = milliseconds(3000);
+/// Wait between the claims of two candidates of a zone, by their rank.
+inline constexpr Duration kClaimStagger = milliseconds(50);
+/// Candidates of a zone that read its lease at the full rate; later ranks read
+/// less often.
+inline constexpr std::uint32_t kLeaseReadersAtFullRate = 4;
 
 // Membership inside a zone.
 inline constexpr Duration kHeartbeatInterval = milliseconds(500);
@@ -34,6 +39,16 @@
 /// A front that hears neither the store nor any other daemon of its roster
 /// stops renewing after this.
 inline constexpr Duration kLoneFrontAfter = milliseconds(3000);
+/// From the last promise not to answer a lost front until its grants count as
+/// lapsed: the lone-front wait, the term and an allowance for clock rates.
+inline constexpr Duration kLoneFrontProof = milliseconds(5200);
+/// Roster members that a daemon exchanges hellos with, half on each side of it
+/// in the order of names.
+inline constexpr std::uint32_t kHelloNeighbours = 4;
+/// Silence after which a daemon forgets another one.
+inline constexpr Duration kPeerRetention = minutes(2);
+/// Rounds of heartbeats whose sending times are kept.
+inline constexpr std::size_t kHeartbeatRounds = 16;
 
 // Grants.
 inline constexpr Duration kGrantTerm = milliseconds(2000);
@@ -44,6 +59,13 @@
 inline constexpr Duration kStoreTimeout = milliseconds(1000);
 inline constexpr Duration kStoreRetryInterval = milliseconds(250);
 inline constexpr Duration kStoreWatchTimeout = seconds(20);
+/// Silence of the store after which it counts as not heard.
+inline constexpr Duration kStoreSilence = milliseconds(2500);
+/// Least time between two watches of a coordinator, unless it wrote itself.
+inline constexpr Duration kWatchPause = milliseconds(250);
+/// Time between two full lists of a daemon that no coordinator relays to.
+inline constexpr Duration kUnrelayedListInterval = seconds(3);
+inline constexpr std::size_t kRelayEntries = 64;
 inline constexpr std::size_t kStoreValueMaxBytes = 1'000'000;
 inline constexpr Duration kVmListInterval = seconds(5);
 
@@ -52,6 +74,28 @@
 inline constexpr std::uint32_t kMaxKeySlots = 65'536;
 inline constexpr std::size_t kMaxKeyOverrides = 256;
 
+// Placement.
+inline constexpr Duration kPlacementInterval = seconds(5);
+/// Span over which fronts average the rates that they report.
+inline constexpr Duration kRateWindow = seconds(10);
+/// A unit that moved stays where it is for this long.
+inline constexpr Duration kMoveCooldown = seconds(60);
+/// A server that came back takes its full share of load after this.
+inline constexpr Duration kColdStartRamp = seconds(30);
+/// Level of load, against the mean, above which a server gives load away ...
+inline constexpr double kOverloadStart = 1.25;
+/// ... until it is at most at this level.
+inline constexpr double kOverloadStop = 1.10;
+/// Level below which a server is given load.
+inline constexpr double kUnderloadStart = 0.60;
+/// Cost of moving one slot, in units of the imbalance measure.
+inline constexpr double kSlotMoveCost = 0.0005;
+/// Cost of moving one carved-out key, in units of the imbalance measure.
+inline constexpr double kKeyMoveCost = 0.00002;
+/// Carved-out keys that are not among their server's busiest for this long go
+/// back to their slots.
+inline constexpr Duration kColdKeyAfter = seconds(120);
+
 // Requests.
 inline constexpr Duration kDefaultDeadline = seconds(5);
 inline constexpr Duration kMaxDeadline = seconds(300);
--- a/include/eelgrasspin/peer_message.h
+++ b/include/eelgrasspin/peer_message.h
@@ -52,6 +52,10 @@
   std::vector<std::pair<SlotId, double>>
       slot_rates;                ///< The busiest slots, requests per second.
   std::vector<HotKey> hot_keys;  ///< The busiest keys.
+  bool silent = false;  ///< No grant lets the server start work any more; what
+                        ///< it had begun may still run.
+  Version map_version;  ///< Ownership map that the front acts on; `lapsed` and
+                        ///< `released` hold for units that are not owned in it.
 
   bool operator==(const FrontReport&) const = default;
 };
@@ -67,8 +71,8 @@
   Version cache_revision;       ///< Highest store revision seen without a gap.
   bool stopping = false;        ///< Give its roles to others.
   bool hears_store = false;
-  std::vector<DaemonName>
-      silent;  ///< Roster members it has not heard for kDaemonLostAfter.
+  /// Lost members of its roster; it answers none of them any more.
+  std::vector<DaemonName> silent;
   std::vector<FrontReport> fronts;
   std::map<ServiceName, DaemonAccount> accounts;
 
@@ -111,6 +115,9 @@
   DaemonName daemon;
   ZoneName zone;
   Incarnation incarnation;
+  std::uint64_t round = 0;  ///< Of the sender.
+  std::uint64_t echo = 0;   ///< Newest round received from the receiver; 0:
+                            ///< none, or the sender may not vouch for it.
 
   bool operator==(const PeerHello&) const = default;
 };
