Fence by commands, fresh accounts for closures, codec of the new fields

Cause: the operator module needs fences that follow command records, accounts that say which revision a daemon knew, and the codec did not carry RosterMember.acknowledged, FrontAssignment.predecessors, ZoneRoster.lost and PeerHello.round/echo. Change: fences.{h,cc} name the runs that a pending command vouches for; a run heard later is spared; fence_applied tells the operator module. Accounts go with every heartbeat while a closure is open.

--- a/src/codec/message_fields_p.h
+++ b/src/codec/message_fields_p.h
@@ -150,6 +150,8 @@
   a("daemon", v.daemon);
   a("zone", v.zone);
   a("incarnation", v.incarnation);
+  a("round", v.round);
+  a("echo", v.echo);
 }
 
 template <class A>
--- a/src/codec/record_fields_p.h
+++ b/src/codec/record_fields_p.h
@@ -61,6 +61,14 @@
   a("daemon", v.daemon);
   a("address", v.address);
   a("incarnation", v.incarnation);
+  a("acknowledged", v.acknowledged);
+}
+
+template <class A>
+void fields(A& a, Like<A, FrontPredecessor>& v) {
+  a("daemon", v.daemon);
+  a("incarnation", v.incarnation);
+  a("epoch", v.epoch);
 }
 
 template <class A>
@@ -70,6 +78,7 @@
   a("incarnation", v.incarnation);
   a("epoch", v.epoch);
   a("awaiting_predecessor", v.awaiting_predecessor);
+  a("predecessors", v.predecessors);
 }
 
 template <class A>
@@ -78,6 +87,7 @@
   a("coordinator_epoch", v.coordinator_epoch);
   a("write_id", v.write_id);
   a("members", v.members);
+  a("lost", v.lost);
   a("fronts", v.fronts);
   a("statuses", v.statuses);
   a("fenced", v.fenced);
--- a/src/core/membership/liveness.cc
+++ b/src/core/membership/liveness.cc
@@ -42,6 +42,20 @@
   return silent;
 }
 
+/// A closure waits for fresh accounts.
+bool closure_under_way(const core::State& state) {
+  bool found = false;
+  for_each_prefixed(state.cache, StoreKey("live/closure/"),
+                    [&](const StoreEntry& entry) {
+                      const auto* closure = std::get_if<Closure>(&entry.record);
+                      bool open = closure != nullptr &&
+                                  closure->step != ClosureStep::kSealed &&
+                                  closure->step != ClosureStep::kCancelled;
+                      found = found || open;
+                    });
+  return found;
+}
+
 Heartbeat make_heartbeat(core::State& state, Now now) {
   Heartbeat beat{.daemon = state.self.name,
                  .zone = state.self.zone,
@@ -54,7 +68,8 @@
                  .silent = silent_members(state),
                  .fronts = ownership::front_reports(state, now)};
   TimePoint& next_accounts = state.membership.next_accounts;
-  if (now.mono >= next_accounts || state.stopping) {
+  bool due = now.mono >= next_accounts || state.stopping;
+  if (due || closure_under_way(state)) {
     next_accounts = now.mono + config::kAccountInterval;
     beat.accounts = request::accounts(state, now);
   }
--- a/src/core/membership/losses.cc
+++ b/src/core/membership/losses.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/membership/fences.h"
 #include "core/membership/liveness.h"
 #include "core/membership/vm_watch.h"
 #include "core/membership/zone_lease.h"
@@ -52,7 +53,8 @@
   if (heard) from = std::max(from, known->heard);
   bool stood_before =
       heard && lease != nullptr && member.daemon == lease->earlier_holder;
-  bool known_gone = daemon_vm_gone(state, member.daemon);
+  bool known_gone = daemon_vm_gone(state, member.daemon) ||
+                    is_fenced(state, member.daemon, member.incarnation);
   if (lease != nullptr && !stood_before && !known_gone)
     from = std::max(from, lease->since);
   return now.mono - from > config::kDaemonLostAfter;
@@ -78,13 +80,11 @@
 bool has_ended(const core::State& state, const ZoneName& zone,
                const DaemonName& daemon, Incarnation incarnation) {
   if (daemon_vm_gone(state, daemon)) return true;
-  const ZoneWatch* watch = zone_watch(state, zone);
-  if (watch != nullptr && watch->fenced_daemons.contains(daemon)) return true;
+  if (is_fenced(state, daemon, incarnation)) return true;
   const ZoneRoster* known = roster(state.cache, zone);
   if (known == nullptr) return false;
   const RosterMember* present = find_member(known->members, daemon);
-  bool restarted = present != nullptr && present->incarnation != incarnation;
-  return restarted || (known->fenced && present == nullptr);
+  return present != nullptr && present->incarnation != incarnation;
 }
 
 bool lone_front_stopped(const core::State& state, const ZoneName& zone,
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/membership/fences.h"
 #include "core/membership/liveness.h"
 #include "core/membership/roster.h"
 #include "core/membership/store_sync.h"
@@ -44,6 +45,7 @@
   if (std::holds_alternative<Started>(event) || state.paused_before)
     state.membership.resumed = now.mono;
   step_sync(state, event, now, effects);
+  step_fences(state, now);
   step_leases(state, event, now, effects);
   step_liveness(state, event, now, effects);
   step_vms(state, event, now, effects);
@@ -103,14 +105,4 @@
   state.membership.wanted_statuses[server] = status;
 }
 
-void fence_zone(core::State& state, const ZoneName& zone) {
-  auto watch = state.membership.zones.find(zone);
-  if (watch != state.membership.zones.end()) watch->second.fence_ordered = true;
-}
-
-void fence_daemon(core::State& state, const DaemonName& daemon) {
-  for (auto& [zone, watch] : state.membership.zones)
-    watch.fenced_daemons.insert(daemon);
-}
-
 }  // namespace eelgrasspin::core::membership
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -53,10 +53,9 @@
 void set_server_status(core::State& state, const ServerName& server,
                        ServerStatus status);
 
-/// An operator vouches that the silent processes of a zone, or of one daemon,
-/// are dead. Only for coordinators; repeats are harmless.
-void fence_zone(core::State& state, const ZoneName& zone);
-void fence_daemon(core::State& state, const DaemonName& daemon);
+/// Whether a fence command under way has had its effect: no roster names a run
+/// that it vouches to be dead.
+bool fence_applied(const core::State& state, const FenceCommand& command);
 
 }  // namespace eelgrasspin::core::membership
 
--- a/src/core/membership/reports.h
+++ b/src/core/membership/reports.h
@@ -11,8 +11,10 @@
 /// this daemon coordinates.
 void take_reports(core::State& state, const Heartbeat& beat, Now now);
 
-/// Drops reports that a roster has made void.
-void drop_void_reports(core::State& state, const ZoneRoster& roster);
+/// Drops reports, and accounts of former members, that a new roster has made
+/// void.
+void drop_void_reports(core::State& state, const ZoneRoster& before,
+                       const ZoneRoster& roster);
 
 /// Whether an earlier front has reported that it stopped.
 bool reported_stopped(const core::State& state, const ServerName& server,
--- a/src/core/membership/roster.cc
+++ b/src/core/membership/roster.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/membership/fences.h"
 #include "core/membership/fronts.h"
 #include "core/membership/liveness.h"
 #include "core/membership/losses.h"
@@ -166,8 +167,8 @@
                                           const FrontPredecessor& earlier) {
       return has_stopped(state, next.zone, server_name, earlier, now);
     });
-    front.awaiting_predecessor = !checks && !front.predecessors.empty() &&
-                                 state.guards.revocation_wait;
+    front.awaiting_predecessor =
+        !checks && !front.predecessors.empty() && state.guards.revocation_wait;
   }
 }
 
@@ -224,15 +225,13 @@
 /// A fence stands until a daemon of the zone joins again.
 void plan_fence(const core::State& state, const ZoneRoster& in_force,
                 ZoneRoster& next) {
-  auto watch = state.membership.zones.find(next.zone);
-  bool ordered =
-      watch != state.membership.zones.end() && watch->second.fence_ordered;
   bool joined = std::any_of(
       next.members.begin(), next.members.end(), [&](const RosterMember& each) {
         return each.daemon != state.self.name &&
                find_member(in_force.members, each.daemon) == nullptr;
       });
-  next.fenced = ordered || (in_force.fenced && !joined);
+  next.fenced =
+      zone_is_fenced(state, next.zone) || (in_force.fenced && !joined);
 }
 
 void forget_met_statuses(core::State& state, const ZoneRoster& in_force) {
@@ -266,7 +265,6 @@
   ZoneRoster next = plan_roster(state, zone, now);
   if (in_force != nullptr && next == *in_force) {
     forget_met_statuses(state, *in_force);
-    state.membership.zones[zone].fence_ordered = false;
     go_home(state, *in_force, now);
     return;
   }
--- a/src/core/membership/roster_events.cc
+++ b/src/core/membership/roster_events.cc
@@ -57,8 +57,8 @@
   bool first = watch.roster_version.value == 0 &&
                known->coordinator_epoch != coordinator_epoch(state, zone);
   watch.roster_version = version;
-  drop_void_reports(state, *known);
   ZoneRoster before = std::exchange(watch.noted, *known);
+  drop_void_reports(state, before, *known);
   if (first) return;
   note_members(state, before, *known, now, effects);
   note_fronts(state, before, *known, now, effects);
--- a/src/core/membership/state.h
+++ b/src/core/membership/state.h
@@ -95,8 +95,21 @@
   Version roster_version;
   ZoneRoster noted;  ///< Roster at that version, for the time line.
   std::map<DaemonName, LossWatch> losses;
-  std::set<DaemonName> fenced_daemons;
-  bool fence_ordered = false;
+};
+
+/// One run of a daemon.
+struct DaemonRun {
+  DaemonName daemon;
+  Incarnation incarnation;
+
+  auto operator<=>(const DaemonRun&) const = default;
+};
+
+/// A fence command under way.
+struct Fence {
+  FenceCommand command;
+  TimePoint noted;
+  std::set<DaemonRun> runs;  ///< Vouched to be dead, and not heard since.
 };
 
 struct ListedVm {
@@ -124,6 +137,8 @@
   std::map<ServerName, std::set<FrontEpoch>> stopped_fronts;
   std::map<DaemonName, HeardAccounts> accounts;
   std::map<ServerName, ServerStatus> wanted_statuses;
+  std::map<CommandId, Fence> fences;
+  std::uint64_t fences_generation = 0;  ///< Of the cache when last looked up.
   TimePoint next_vm_list;
   bool vm_list_under_way = false;
   TimePoint vm_list_sent;
--- a/src/core/membership/zone_lease.cc
+++ b/src/core/membership/zone_lease.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/membership/fences.h"
 #include "core/membership/store_sync.h"
 
 namespace eelgrasspin::core::membership {
@@ -197,7 +198,9 @@
 void step_foreign_candidate(core::State& state, const ZoneName& zone,
                             ZoneLease& lease, Now now, Effects& effects) {
   if (!coordinates(state, state.self.zone, now)) return;
-  if (may_claim(state, zone, lease, config::kForeignCandidateDelay, now))
+  Duration delay = zone_is_fenced(state, zone) ? Duration(0)
+                                               : config::kForeignCandidateDelay;
+  if (may_claim(state, zone, lease, delay, now))
     claim(state, zone, lease, now, effects);
 }
 
@@ -222,8 +225,8 @@
       [&](const auto& server) { return server.second.zone == zone; });
 }
 
-/// The home zone, zones held, and the region's zones that may need a
-/// coordinator.
+/// The home zone, zones held, and zones that may need a coordinator: the
+/// region's, and any that an operator fenced.
 std::vector<ZoneName> zones_to_step(const core::State& state, Now now) {
   std::vector<ZoneName> zones{state.self.zone};
   const Declarations* declared = declarations(state.cache);
@@ -231,8 +234,11 @@
       declared != nullptr && coordinates(state, state.self.zone, now);
   if (looks_after_others) {
     for (const auto& [name, zone] : declared->zones) {
-      bool other = name != state.self.zone && zone.region == state.self.region;
-      if (other && has_servers(*declared, name)) zones.push_back(name);
+      bool in_charge =
+          zone.region == state.self.region || zone_is_fenced(state, name);
+      bool other = name != state.self.zone;
+      if (other && in_charge && has_servers(*declared, name))
+        zones.push_back(name);
     }
   }
   for (const auto& [name, lease] : state.membership.leases) {
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -147,11 +147,11 @@
   FieldCounter counts_counter;
   fields(counts_counter, account.counts);
   EXPECT_EQ(counts_counter.count, 3u);
-  expect_all_fields_of<CoordinatorLease, RosterMember, FrontAssignment,
-                       ZoneRoster, SlotRecord, Intent, IntentSegment,
-                       QuarantineEntry, QuarantineList, RefusalSample,
-                       ZoneAccount, OwnershipSpan, OwnershipHistory,
-                       ClosurePart, Closure, CommandRecord, DrainPlan>();
+  expect_all_fields_of<
+      CoordinatorLease, RosterMember, FrontPredecessor, FrontAssignment,
+      ZoneRoster, SlotRecord, Intent, IntentSegment, QuarantineEntry,
+      QuarantineList, RefusalSample, ZoneAccount, OwnershipSpan,
+      OwnershipHistory, ClosurePart, Closure, CommandRecord, DrainPlan>();
   expect_all_fields_of<Condition, ShowCommand, OwnerCommand, MoveCommand,
                        DrainCommand, UndrainCommand, CloseCommand,
                        CancelClosureCommand, ShowClosureCommand, ReportCommand,
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -291,8 +291,12 @@
   cluster_.isolate("a");
   cluster_.run(seconds(20));
   EXPECT_TRUE(front().awaiting_predecessor);
-  fence_zone(cluster_.at("m").state, kZone);
+  FenceCommand fence{.zone = kZone};
+  CommandId id("c1");
+  EXPECT_FALSE(fence_applied(cluster_.at("m").state, fence));
+  cluster_.put(command_key(id), CommandRecord{.id = id, .command = fence});
   cluster_.run(seconds(1));
+  EXPECT_TRUE(fence_applied(cluster_.at("m").state, fence));
   EXPECT_TRUE(cluster_.stored_roster("gongoni").fenced);
   EXPECT_FALSE(front().awaiting_predecessor);
 }
