--- a/tests/membership_property_test.cc
+++ b/tests/membership_property_test.cc
@@ -169,6 +169,7 @@
   std::mt19937 random(7);
   for (int run = 0; run < kRuns; ++run) {
     std::vector<Step> steps;
+    steps.reserve(kSteps);
     for (int i = 0; i < kSteps; ++i) {
       steps.push_back({static_cast<Fault>(random() % 7),
                        static_cast<int>(random() % kNames.size()),
