--- a/src/io/histogram.h
+++ b/src/io/histogram.h
@@ -21,7 +21,7 @@
   /// Upper end of the bucket that holds the share `q` (0 to 1) of all values; 0
   /// if there are none.
   Duration quantile(double q) const;
-  /// Values of at most `limit`, which is a power of two of microseconds.
+  /// Values below `limit`, which is a power of two of microseconds.
   std::uint64_t count_up_to(Duration limit) const;
 
  private:
