--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -39,6 +39,8 @@
 inline constexpr Duration kGrantTerm = milliseconds(2000);
 inline constexpr Duration kGrantRenewInterval = milliseconds(500);
 inline constexpr Duration kGrantCallTimeout = milliseconds(400);
+/// Interval of orders while a backend server still works on what was revoked.
+inline constexpr Duration kRevocationPollInterval = milliseconds(50);
 
 // Store access.
 inline constexpr Duration kStoreTimeout = milliseconds(1000);
--- a/src/core/ownership/front.cc
+++ b/src/core/ownership/front.cc
@@ -12,6 +12,9 @@
   if (front.sequence == 0) return true;
   if (now - front.last_sent >= config::kGrantRenewInterval) return true;
   if (front.unreachable) return false;
+  bool revoking = front.applied_set < front.known_set;
+  if (revoking && now - front.last_sent >= config::kRevocationPollInterval)
+    return true;
   bool first_echo_waits =
       !front.send_until.has_value() && front.newest_answer > front.sent_echo;
   return first_echo_waits || front.sent_set != front.set_version;
--- a/src/core/ownership/front.h
+++ b/src/core/ownership/front.h
@@ -1,6 +1,7 @@
 #ifndef EELGRASSPIN_CORE_OWNERSHIP_FRONT_H_
 #define EELGRASSPIN_CORE_OWNERSHIP_FRONT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -76,6 +77,17 @@
   Version map_version;       ///< Ownership map from which `units` was made.
   Version zone_map_version;  ///< Zone map from which `units` was made.
 
+  /// What the coordinator waits for, as last reported.
+  struct News {
+    std::size_t released = 0;
+    bool silent = false;
+    bool lapsed = false;
+    bool holds_grant = false;
+
+    bool operator==(const News&) const = default;
+  };
+  News news;
+
   // What the time line already has.
   bool confirm_recorded = false;
   bool lapse_recorded = false;
--- a/src/core/ownership/fronts.cc
+++ b/src/core/ownership/fronts.cc
@@ -195,38 +195,70 @@
   return is_idle(state, front.server, unit) && now.mono > quiet_since + limit;
 }
 
-FrontReport make_report(const core::State& state, const Front& front, Now now) {
-  FrontReport report{.server = front.server, .front_epoch = front.epoch};
-  report.stopped = front.stale;
-  report.map_version = front.map_version;
-  report.holds_grant =
-      front.checks_grants
-          ? grant_in_force(front, now.mono)
-          : may_act(state, front, now) && front.predecessor_stopped.has_value();
-  report.lapsed = is_lapsed(state, front, now);
-  auto hold = latest_hold(front);
-  report.silent = report.lapsed || (front.checks_grants && !front.stale &&
-                                    hold.has_value() && now.mono > *hold);
-  report.running = request::running(state, front.server);
-  report.queued = request::queued(state, front.server);
-  request::ServerLoad load = request::server_load(state, front.server, now);
-  report.requests_per_second = load.requests_per_second;
-  report.slot_rates = std::move(load.slot_rates);
-  report.hot_keys = std::move(load.hot_keys);
-  const ServerDeclaration* declared =
-      server_declaration(state.cache, front.server);
-  if (declared == nullptr) return report;
-  auto index =
-      state.ownership.indexes.find({declared->service, declared->zone});
-  if (index == state.ownership.indexes.end()) return report;
-  for (const auto& [unit, unsettled] : index->second.unsettled) {
+const MapIndex* known_index(const core::State& state,
+                            const ServerName& server) {
+  const ServerDeclaration* declared = server_declaration(state.cache, server);
+  if (declared == nullptr) return nullptr;
+  auto it = state.ownership.indexes.find({declared->service, declared->zone});
+  return it == state.ownership.indexes.end() ? nullptr : &it->second;
+}
+
+std::vector<SlotGrant> released_units(const core::State& state,
+                                      const Front& front, Now now) {
+  std::vector<SlotGrant> units;
+  const MapIndex* index = known_index(state, front.server);
+  if (index == nullptr) return units;
+  for (const auto& [unit, unsettled] : index->unsettled) {
     if (unsettled.record.owner != front.server) continue;
     if (released(state, front, unit, now)) {
-      report.released.push_back(
+      units.push_back(
           {unit.slot, unit.key, Epoch(unsettled.record.epoch.value - 1)});
     }
   }
-  return report;
+  return units;
+}
+
+bool holds_grant(const core::State& state, const Front& front, Now now) {
+  return front.checks_grants ? grant_in_force(front, now.mono)
+                             : may_act(state, front, now) &&
+                                   front.predecessor_stopped.has_value();
+}
+
+bool is_silent(const core::State& state, const Front& front, Now now) {
+  if (!front.checks_grants || front.stale) return false;
+  if (!state.guards.lease_wait) return front.unreachable;
+  std::optional<TimePoint> hold = latest_hold(front);
+  return hold.has_value() && now.mono > *hold &&
+         (front.unreachable || front.newest_answer == 0);
+}
+
+FrontReport make_report(const core::State& state, const Front& front, Now now) {
+  request::ServerLoad load = request::server_load(state, front.server, now);
+  return {.server = front.server,
+          .front_epoch = front.epoch,
+          .holds_grant = holds_grant(state, front, now),
+          .lapsed = is_lapsed(state, front, now),
+          .stopped = front.stale,
+          .released = released_units(state, front, now),
+          .requests_per_second = load.requests_per_second,
+          .queued = request::queued(state, front.server),
+          .running = request::running(state, front.server),
+          .slot_rates = std::move(load.slot_rates),
+          .hot_keys = std::move(load.hot_keys),
+          .silent = is_silent(state, front, now),
+          .map_version = front.map_version};
+}
+
+/// Sends the next heartbeat at once if it has something that the coordinator
+/// waits for.
+void hurry_news(core::State& state, Front& front, Now now) {
+  Front::News news{.released = released_units(state, front, now).size(),
+                   .silent = is_silent(state, front, now),
+                   .lapsed = is_lapsed(state, front, now),
+                   .holds_grant = holds_grant(state, front, now)};
+  if (news == front.news) return;
+  front.news = news;
+  membership::report_soon(state, now);
 }
 
 /// Time for which the end of a front role is still reported.
@@ -340,6 +372,7 @@
     if (front.checks_grants && map_known && may_act(state, front, now))
       send_order(state, front, now, effects);
     record_lapse(state, front, now, effects);
+    hurry_news(state, front, now);
   }
 }
 
