--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -35,6 +35,8 @@
 
 // Membership inside a zone.
 inline constexpr Duration kHeartbeatInterval = milliseconds(500);
+/// Least time between two heartbeats when a front has news.
+inline constexpr Duration kUrgentHeartbeatInterval = milliseconds(40);
 inline constexpr Duration kDaemonLostAfter = milliseconds(1500);
 /// A front that hears neither the store nor any other daemon of its roster
 /// stops renewing after this.
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -83,6 +83,14 @@
   return state.membership.accounts;
 }
 
+void report_soon(core::State& state, Now now) {
+  TimePoint& next = state.membership.next_heartbeat;
+  TimePoint last = next - config::kHeartbeatInterval;
+  TimePoint earliest =
+      std::max(now.mono, last + config::kUrgentHeartbeatInterval);
+  next = std::min(next, earliest);
+}
+
 bool hears_store(const core::State& state, Now now) {
   const StoreSync& sync = state.membership.sync;
   return sync.heard && now.mono - *sync.heard <= config::kStoreSilence;
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -43,6 +43,11 @@
 const std::map<DaemonName, HeardAccounts>& heard_accounts(
     const core::State& state);
 
+/// Brings the next heartbeat forward to the next tick: the reports in it have
+/// news that a coordinator waits for. At most one round is brought forward for
+/// each config::kUrgentHeartbeatInterval.
+void report_soon(core::State& state, Now now);
+
 /// Whether the store has answered lately.
 bool hears_store(const core::State& state, Now now);
 /// False once this front hears neither the store nor any other daemon of its
--- a/src/core/membership/roster.cc
+++ b/src/core/membership/roster.cc
@@ -166,8 +166,8 @@
                                           const FrontPredecessor& earlier) {
       return has_stopped(state, next.zone, server_name, earlier, now);
     });
-    front.awaiting_predecessor = !checks && !front.predecessors.empty() &&
-                                 state.guards.revocation_wait;
+    front.awaiting_predecessor =
+        !checks && !front.predecessors.empty() && state.guards.revocation_wait;
   }
 }
 
--- a/src/core/ownership/fronts.cc
+++ b/src/core/ownership/fronts.cc
@@ -52,7 +52,7 @@
 void take_up(core::State& state, const ServerName& server,
              const FrontAssignment& assignment, Now now, Effects& effects) {
   Front front{.server = server, .epoch = assignment.epoch, .since = now.mono};
-  if (!assignment.awaiting_predecessor) front.predecessor_stopped = now.mono;
+  if (assignment.predecessors.empty()) front.predecessor_stopped = now.mono;
   state.ownership.fronts[server] = std::move(front);
   ++state.counters[Counter::kFrontTerms];
   record(state,
@@ -185,6 +185,7 @@
 bool released(const core::State& state, const Front& front, const Unit& unit,
               Now now) {
   Duration limit = execution_limit(state, front.server);
+  if (!unit.key.empty() && !is_idle(state, front.server, unit)) return false;
   if (front.checks_grants) return is_released(front, unit, limit, now.mono);
   if (front.units.contains(unit) || !front.predecessor_stopped.has_value() ||
       front.unconfirmed)
@@ -281,7 +282,7 @@
     auto it = state.ownership.fronts.find(server);
     if (it == state.ownership.fronts.end()) {
       take_up(state, server, assignment, now, effects);
-    } else if (!assignment.awaiting_predecessor &&
+    } else if (assignment.predecessors.empty() &&
                !it->second.predecessor_stopped.has_value()) {
       it->second.predecessor_stopped = now.mono;
     }
--- a/tests/membership_property_test.cc
+++ b/tests/membership_property_test.cc
@@ -183,9 +183,8 @@
 TEST(MembershipPropertyTest, WithoutTheLeaseWaitTwoCoordinatorsAreFound) {
   Guards guards;
   guards.lease_wait = false;
-  EXPECT_TRUE(search(guards, [](const Observer& seen) {
-    return seen.most_coordinators > 1;
-  }));
+  EXPECT_TRUE(search(
+      guards, [](const Observer& seen) { return seen.most_coordinators > 1; }));
 }
 
 TEST(MembershipPropertyTest, WithoutTheWaitForPredecessorsTwoFrontsAreFound) {
