--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -35,6 +35,8 @@
 
 // Membership inside a zone.
 inline constexpr Duration kHeartbeatInterval = milliseconds(500);
+/// Least time between two heartbeats when a front has news.
+inline constexpr Duration kUrgentHeartbeatInterval = milliseconds(40);
 inline constexpr Duration kDaemonLostAfter = milliseconds(1500);
 /// A front that hears neither the store nor any other daemon of its roster
 /// stops renewing after this.
@@ -54,6 +56,8 @@
 inline constexpr Duration kGrantTerm = milliseconds(2000);
 inline constexpr Duration kGrantRenewInterval = milliseconds(500);
 inline constexpr Duration kGrantCallTimeout = milliseconds(400);
+/// Interval of orders while a backend server still works on what was revoked.
+inline constexpr Duration kRevocationPollInterval = milliseconds(50);
 
 // Store access.
 inline constexpr Duration kStoreTimeout = milliseconds(1000);
