Count each daemon's account in its own zone's book

Cause: a daemon that coordinates two zones hears both zones' members and wrote them into both books, so that the report's totals would count them twice. Change: a book takes over members of its zone's roster only.

--- a/src/core/operator/accounts.cc
+++ b/src/core/operator/accounts.cc
@@ -1,5 +1,6 @@
 #include "core/operator/accounts.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -70,10 +71,23 @@
   start_write(state, store_key, book.version, account, now, effects);
 }
 
+bool is_member(const core::State& state, const ZoneName& zone,
+               const DaemonName& daemon) {
+  const ZoneRoster* members = roster(state.cache, zone);
+  return members != nullptr &&
+         std::any_of(members->members.begin(), members->members.end(),
+                     [&](const RosterMember& member) {
+                       return member.daemon == daemon;
+                     });
+}
+
+/// Takes over what the zone's members last reported. A daemon that coordinates
+/// two zones hears both; each account belongs to one book.
 void merge_heard(core::State& state, const BookKey& key, AccountBook& book) {
   for (const auto& [daemon, heard] : membership::heard_accounts(state)) {
     auto it = heard.accounts.find(key.first);
-    if (it != heard.accounts.end()) merge(book, it->second);
+    if (it == heard.accounts.end()) continue;
+    if (is_member(state, key.second, daemon)) merge(book, it->second);
   }
 }
 
