Measure idle costs; look at the roster only when something changed

Change: a plan at most each 100 ms, or when the cache, a newcomer, a stopping daemon or an awaited report asks for it.

--- a/src/core/membership/liveness.cc
+++ b/src/core/membership/liveness.cc
@@ -169,6 +169,8 @@
   if (known == nullptr) return;
   bool repeated = known->heartbeat && beat.round < known->heartbeat->round;
   if (repeated) return;
+  if (!is_current_member(state, beat) || beat.stopping)
+    state.membership.roster_due = true;
   known->heartbeat = beat;
   known->heartbeat->fronts.clear();
   known->heartbeat->accounts.clear();
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -103,6 +103,7 @@
 void set_server_status(core::State& state, const ServerName& server,
                        ServerStatus status) {
   state.membership.wanted_statuses[server] = status;
+  state.membership.roster_due = true;
 }
 
 }  // namespace eelgrasspin::core::membership
--- a/src/core/membership/reports.cc
+++ b/src/core/membership/reports.cc
@@ -28,6 +28,7 @@
   const FrontAssignment& assigned = front->second;
   if (assigned.daemon == daemon && assigned.epoch == report.front_epoch)
     state.membership.front_reports[report.server] = report;
+  if (!assigned.predecessors.empty()) state.membership.roster_due = true;
   if (report.stopped && names_predecessor(assigned, daemon, report.front_epoch))
     state.membership.stopped_fronts[report.server].insert(report.front_epoch);
 }
--- a/src/core/membership/roster.cc
+++ b/src/core/membership/roster.cc
@@ -291,7 +291,14 @@
 
 void step_rosters(core::State& state, const Event& event, Now now,
                   Effects& effects) {
+  State& own = state.membership;
   if (!std::holds_alternative<Tick>(event)) return;
+  bool changed =
+      own.roster_due || own.roster_generation != state.cache.generation;
+  if (!changed && now.mono < own.next_roster) return;
+  own.roster_due = false;
+  own.roster_generation = state.cache.generation;
+  own.next_roster = now.mono + config::kRosterInterval;
   for (const ZoneName& zone : coordinated_zones(state, now))
     step_roster(state, zone, now, effects);
 }
--- a/src/core/membership/state.h
+++ b/src/core/membership/state.h
@@ -137,6 +137,9 @@
   std::map<ServerName, std::set<FrontEpoch>> stopped_fronts;
   std::map<DaemonName, HeardAccounts> accounts;
   std::map<ServerName, ServerStatus> wanted_statuses;
+  bool roster_due = false;  ///< Something a roster depends on has changed.
+  TimePoint next_roster;
+  std::uint64_t roster_generation = 0;  ///< Of the cache at the last look.
   std::map<CommandId, Fence> fences;
   std::uint64_t fences_generation = 0;  ///< Of the cache when last looked up.
   TimePoint next_vm_list;
--- a/tests/membership_cluster.h
+++ b/tests/membership_cluster.h
@@ -136,7 +136,7 @@
   std::vector<VmEntry> vms;
   std::uint64_t reads = 0;
   std::uint64_t writes = 0;
-  std::map<DaemonName, std::uint64_t> sent;
+  std::function<void(const DaemonName&, const PeerMessage&)> on_send;
 
  private:
   struct Watch {
@@ -223,7 +223,7 @@
   }
 
   void send(Node& node, const SendPeer& peer) {
-    ++sent[node.state.self.name];
+    if (on_send) on_send(node.state.self.name, peer.message);
     DaemonName to(peer.to.str());
     if (!nodes_.contains(to) || cuts_.contains({node.state.self.name, to}))
       return;
