--- a/src/io/backend_control_http.cc
+++ b/src/io/backend_control_http.cc
@@ -32,7 +32,7 @@
                       codec::encode_grant_order(order),
                       {}};
   client(server, address)
-      .call(std::move(request), config::kGrantCallTimeout,
+      .call(request, config::kGrantCallTimeout,
             [done = std::move(done)](const HttpResult& result) {
               done(read_reply(result));
             });
