End a graceful stop only when every answer is out

Cause: the exit waited for callers' answers but not for those to other daemons, whose streams would end as unknown. Change: at the exit new streams are refused provably, and it waits until each stream and answer is handed to the socket; callers' connections close after their next answer once the stop is ordered.

--- a/src/io/h2_session.cc
+++ b/src/io/h2_session.cc
@@ -151,6 +151,9 @@
   bool connected() const override { return connected_ && !closed_; }
   TimePoint last_heard() const override { return last_heard_; }
   std::size_t open_streams() const override { return streams_.size(); }
+  bool flushed() const override {
+    return streams_.empty() && !writing_ && !flush_scheduled_;
+  }
   void silence() override { silent_ = true; }
 
  private:
--- a/src/io/h2_session.h
+++ b/src/io/h2_session.h
@@ -59,6 +59,8 @@
   /// When bytes last came from the other side.
   virtual TimePoint last_heard() const = 0;
   virtual std::size_t open_streams() const = 0;
+  /// No stream is open and everything was handed to the socket.
+  virtual bool flushed() const = 0;
   /// Stops reading and writing without closing. For tests.
   virtual void silence() = 0;
 };
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -41,6 +41,7 @@
   Handler handler;
   std::set<std::shared_ptr<Connection>> connections;
   std::size_t open_exchanges = 0;
+  bool closing = false;
 };
 
 namespace {
@@ -272,7 +273,7 @@
     for (const auto& [name, value] : answer.headers) {
       message.insert(name, value);
     }
-    close_after_ = answer.close || !keep_alive_;
+    close_after_ = answer.close || !keep_alive_ || server_->closing;
     message.keep_alive(!close_after_);
     bool bodiless = answer.status == 204 || answer.status == 304;
     message.body() = bodiless ? std::string() : std::move(answer.body);
@@ -401,6 +402,8 @@
   impl_->acceptor.close(ignored);
 }
 
+void HttpServer::close_after_answers() { impl_->closing = true; }
+
 void HttpServer::close() {
   stop_accepting();
   auto connections = impl_->connections;
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -58,6 +58,8 @@
   /// Where it listens, with the port the system chose for port 0.
   Endpoint local() const;
   void stop_accepting();
+  /// Each connection is closed after its next answer.
+  void close_after_answers();
   /// Closes every connection.
   void close();
   /// Connections that now exist neither receive nor answer any more, without
--- a/src/io/shell.cc
+++ b/src/io/shell.cc
@@ -103,6 +103,7 @@
   stop_timer_.async_wait([this](error_code failed) {
     if (!failed) exit();
   });
+  caller_port_.server().close_after_answers();
   post(core::StopOrdered{});
 }
 
@@ -193,7 +194,9 @@
 }
 
 void Shell::exit_when_flushed(int checks_left) {
-  bool flushed = caller_port_.server().open_exchanges() == 0;
+  bool flushed = caller_port_.server().open_exchanges() == 0 &&
+                 operator_port_.server().open_exchanges() == 0 &&
+                 transport_.flushed();
   if (flushed || checks_left == 0) return exit();
   stop_timer_.expires_after(kFlushCheckInterval);
   stop_timer_.async_wait([this, checks_left](error_code failed) {
--- a/src/io/shell.h
+++ b/src/io/shell.h
@@ -101,6 +101,7 @@
   std::deque<core::Event> events_;
   bool draining_ = false;
   bool closed_ = false;
+  bool exiting_ = false;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer stop_timer_;
   std::uint64_t limits_generation_ = 0;
--- a/src/io/shell_effects.cc
+++ b/src/io/shell_effects.cc
@@ -151,6 +151,9 @@
 void Shell::execute(core::LogEvent& effect) { log_event(effect.event); }
 
 void Shell::execute(core::ExitProcess& /*effect*/) {
+  if (std::exchange(exiting_, true)) return;
+  // Streams of other daemons that come now are provably not run.
+  transport_.shut_down();
   exit_when_flushed(kFlushChecks);
 }
 
--- a/src/io/transport_h2.cc
+++ b/src/io/transport_h2.cc
@@ -1,5 +1,6 @@
 #include "io/transport_h2.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <set>
@@ -323,6 +324,13 @@
   }
 }
 
+bool TransportH2::flushed() const {
+  return std::all_of(impl_->server_links.begin(), impl_->server_links.end(),
+                     [](const auto& link) {
+                       return !link->session || link->session->flushed();
+                     });
+}
+
 void TransportH2::close() {
   impl_->closed = true;
   error_code ignored;
--- a/src/io/transport_h2.h
+++ b/src/io/transport_h2.h
@@ -52,6 +52,8 @@
 
   /// Refuses further streams from other daemons; open ones end first.
   void shut_down();
+  /// Every request of another daemon has been answered.
+  bool flushed() const;
   void close();
   /// Connections that now exist go silent without being closed. For tests.
   void silence_connections();
