--- a/src/core/ownership/front.cc
+++ b/src/core/ownership/front.cc
@@ -15,8 +15,8 @@
   bool revoking = front.applied_set < front.known_set;
   if (revoking && now - front.last_sent >= config::kRevocationPollInterval)
     return true;
-  bool first_echo_waits =
-      !front.send_until.has_value() && front.newest_answer > front.sent_echo;
+  bool in_force = front.send_until.has_value() && now < *front.send_until;
+  bool first_echo_waits = !in_force && front.newest_answer > front.sent_echo;
   return first_echo_waits || front.sent_set != front.set_version;
 }
 
--- a/src/core/ownership/fronts.cc
+++ b/src/core/ownership/fronts.cc
@@ -298,8 +298,7 @@
   if (!paused && !lone) return;
   for (auto& [server, front] : state.ownership.fronts) {
     front.unconfirmed = true;
-    front.confirming.reset();
-    front.confirm_at = now.mono;
+    if (paused) front.confirming.reset();
   }
 }
 
