--- a/src/codec/message_fields_p.h
+++ b/src/codec/message_fields_p.h
@@ -103,6 +103,8 @@
   a("running", v.running);
   a("slot_rates", v.slot_rates);
   a("hot_keys", v.hot_keys);
+  a("silent", v.silent);
+  a("map_version", v.map_version);
 }
 
 template <class A>
