--- /dev/null
+++ b/bench/main.cc
@@ -0,0 +1,3 @@
+#include <benchmark/benchmark.h>
+
+BENCHMARK_MAIN();
--- a/src/core/ownership/coordinator.cc
+++ b/src/core/ownership/coordinator.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/membership/membership.h"
+#include "core/ownership/history.h"
 #include "core/ownership/maps.h"
 #include "core/ownership/orders.h"
 #include "core/ownership/placement_orders.h"
@@ -326,6 +327,7 @@
     for (const auto& [service, declared] : all->services) {
       maintain_zone_map(state, {service, zone}, now, effects);
       coordinate_part(state, {service, zone}, now, effects);
+      maintain_history(state, {service, zone}, now, effects);
     }
   }
 }
--- a/src/core/ownership/ownership.cc
+++ b/src/core/ownership/ownership.cc
@@ -4,6 +4,7 @@
 
 #include "core/ownership/coordinator.h"
 #include "core/ownership/fronts.h"
+#include "core/ownership/history.h"
 #include "core/ownership/maps.h"
 #include "core/state.h"
 
@@ -29,6 +30,8 @@
   if (!concerns_ownership(event)) return;
   if (const auto* reply = std::get_if<GrantReplied>(&event))
     on_grant_reply(state, *reply, now, effects);
+  if (const auto* answer = std::get_if<StoreAnswered>(&event))
+    take_history_answer(state, *answer, now);
   confirm_fronts(state, event, now, effects);
   sync_fronts(state, now, effects);
   if (!state.writer.settled.empty()) settle_writes(state, now, effects);
@@ -53,10 +56,4 @@
   return units;
 }
 
-std::vector<OwnershipSpan> history(const core::State& /*state*/,
-                                   const ServiceName& /*service*/,
-                                   const ZoneName& /*zone*/) {
-  return {};
-}
-
 }  // namespace eelgrasspin::core::ownership
--- a/src/core/ownership/state.h
+++ b/src/core/ownership/state.h
@@ -66,6 +66,18 @@
   std::map<ServerName, TimePoint> usable_since;
 };
 
+/// The history of a part as its coordinator keeps it between two writes.
+struct HistoryMemory {
+  TermEpoch term;  ///< Coordinator term that it belongs to.
+  bool loaded = false;
+  std::optional<StoreOpId> reading;
+  TimePoint read_at;  ///< Not before, for the next read.
+  OwnershipHistory draft;
+  Version seen_map;  ///< Ownership map that the draft includes.
+  bool dirty = false;
+  TimePoint write_at;  ///< Not before, for the next write.
+};
+
 /// What the coordinator of one part keeps in memory; all of it can be lost.
 struct PartState {
   std::map<Unit, MoveOrder> orders;
@@ -75,6 +87,7 @@
   std::uint64_t moves_finished = 0;  ///< By the pending write.
   std::uint64_t recovered = 0;       ///< By the pending write.
   PlacementMemory placement;
+  HistoryMemory history;
 };
 
 struct State {
--- a/tests/ownership_test.cc
+++ b/tests/ownership_test.cc
@@ -189,6 +189,27 @@
   EXPECT_TRUE(world.violations.empty()) << *world.violations.begin();
 }
 
+TEST(OwnershipTest, HistoryTellsWhoHeldASlotWhen) {
+  World world = start_world({});
+  SlotId slot = slot_owned_by(world, server_name(1));
+  EXPECT_EQ(
+      order(world,
+            {.service = kService, .slot = slot, .server = server_name(2)}),
+      "");
+  scenario::run_for(world, seconds(3));
+  scenario::kill_daemon(world, coordinator_of(world, kGongoni));
+  scenario::run_for(world, seconds(14));
+  const auto& stored = std::get<OwnershipHistory>(
+      world.store.entries.at(ownership_history_key(kService, kGongoni)).record);
+  std::vector<ServerName> holders;
+  for (const OwnershipSpan& span : stored.spans) {
+    if (slot < span.first_slot || span.last_slot < slot) continue;
+    holders.push_back(span.server);
+    EXPECT_EQ(span.until.has_value(), holders.size() == 1);
+  }
+  EXPECT_EQ(holders, (std::vector{server_name(1), server_name(2)}));
+}
+
 TEST(OwnershipTest, OrdersOnUnknownThingsAreRefusedWithTheirPlace) {
   World world = start_world({});
   EXPECT_EQ(order(world, {.service = ServiceName("x"), .slot = SlotId(1)}),
