--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -65,12 +65,38 @@
 inline constexpr std::uint32_t kRetryBudgetPercent = 10;
 inline constexpr std::uint32_t kMaxAttempts = 4;
 inline constexpr Duration kRetryPause = milliseconds(50);
+/// Retries that a service's budget holds at the start and at most.
+inline constexpr std::uint32_t kRetryBudgetStart = 10;
+inline constexpr std::uint32_t kRetryBudgetMax = 100;
+/// Requests that one entry holds while their keys have no usable owner.
+inline constexpr std::size_t kMaxHeldRequests = 4096;
+/// A forwarded request's deadline is this much before its entry's, so that the
+/// front's own verdict arrives in time.
+inline constexpr Duration kForwardMargin = milliseconds(40);
+/// Retry-After of a request refused because a queue is full.
+inline constexpr Duration kShedRetryAfter = milliseconds(500);
+inline constexpr std::size_t kRefusalSamples = 16;
 inline constexpr std::uint32_t kQuarantineStrikes = 2;
 inline constexpr Duration kQuarantineTime = minutes(10);
 inline constexpr Duration kIntentRetention = minutes(10);
 inline constexpr Duration kIntentCommitInterval = milliseconds(5);
 inline constexpr std::size_t kIntentSegmentEntries = 512;
 
+// Callers' connections.
+inline constexpr std::size_t kMaxCallerConnections = 4096;
+/// Longest time from a request's first byte to its last.
+inline constexpr Duration kReceiveLimit = seconds(10);
+inline constexpr Duration kIdleConnectionLimit = seconds(75);
+/// Bodies of requests not yet ended, together.
+inline constexpr std::size_t kMaxHeldBodyBytes = 96 * 1024 * 1024;
+
+// Connections to backend servers.
+inline constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+/// An idle connection younger than this counts as just shown to be alive.
+inline constexpr Duration kVerifiedConnectionAge = milliseconds(100);
+/// An idle connection older than this is replaced before use.
+inline constexpr Duration kReusableConnectionAge = seconds(2);
+
 // Streams between daemons.
 inline constexpr Duration kPingInterval = milliseconds(500);
 inline constexpr Duration kPingTimeout = milliseconds(400);
