--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "config/declarations_fields.h"
 #include "config/values.h"
 #include "lang/names.h"
 
@@ -17,6 +18,29 @@
   return kNames;
 }
 
+void read_daemon(Values& values, Settings& out) {
+  values.name("name", out.name, Presence::kRequired);
+  values.name("zone", out.zone, Presence::kRequired);
+  values.name("region", out.region, Presence::kRequired);
+  values.endpoint("callers", out.callers, Presence::kRequired);
+  values.endpoint("peers", out.peers, Presence::kRequired);
+  values.endpoint("operators", out.operators, Presence::kRequired);
+  values.endpoints("seeds", out.seeds);
+}
+
+void read_platform(Values& values, Settings& out) {
+  values.endpoint("store", out.store, Presence::kRequired);
+  values.endpoint("vms", out.vm_list, Presence::kRequired);
+}
+
+void read_log(Values& values, Settings& out) {
+  static const Choices<std::string> kLevels = {{"debug", "debug"},
+                                               {"info", "info"},
+                                               {"warning", "warning"},
+                                               {"error", "error"}};
+  values.choice("level", out.log_level, kLevels, Presence::kRequired);
+}
+
 class Builder {
  public:
   Builder(std::string_view text, const std::string& file)
@@ -50,31 +74,16 @@
     if (section.title == "operators") return read_operators(section);
     Values values(section, file_, findings_);
     if (section.title == "daemon") {
-      read_daemon(values);
+      read_daemon(values, out_);
       check_ports(values);
     } else if (section.title == "platform") {
-      values.endpoint("store", out_.store, Presence::kRequired);
-      values.endpoint("vms", out_.vm_list, Presence::kRequired);
+      read_platform(values, out_);
     } else {
-      static const Choices<std::string> kLevels = {{"debug", "debug"},
-                                                   {"info", "info"},
-                                                   {"warning", "warning"},
-                                                   {"error", "error"}};
-      values.choice("level", out_.log_level, kLevels, Presence::kRequired);
+      read_log(values, out_);
     }
     values.finish();
   }
 
-  void read_daemon(Values& values) {
-    values.name("name", out_.name, Presence::kRequired);
-    values.name("zone", out_.zone, Presence::kRequired);
-    values.name("region", out_.region, Presence::kRequired);
-    values.endpoint("callers", out_.callers, Presence::kRequired);
-    values.endpoint("peers", out_.peers, Presence::kRequired);
-    values.endpoint("operators", out_.operators, Presence::kRequired);
-    values.endpoints("seeds", out_.seeds);
-  }
-
   void check_ports(const Values& values) {
     std::set<Endpoint> taken;
     const std::pair<const char*, Endpoint> ports[] = {
@@ -118,8 +127,48 @@
   std::set<std::string> seen_;
 };
 
+/// Names that `read` asks for, each after its section.
+template <class Read>
+void add_known(const std::string& section, Read read,
+               std::vector<std::string>& out) {
+  static const IniSection kEmpty;
+  std::vector<Finding> ignored;
+  Values values(kEmpty, section, ignored);
+  read(values);
+  for (const std::string& name : values.known()) {
+    out.push_back(section + " " + name);
+  }
+}
+
 }  // namespace
 
+std::vector<std::string> known_keys() {
+  std::vector<std::string> keys;
+  Settings settings;
+  add_known(
+      "daemon", [&](Values& v) { read_daemon(v, settings); }, keys);
+  add_known(
+      "platform", [&](Values& v) { read_platform(v, settings); }, keys);
+  add_known(
+      "log", [&](Values& v) { read_log(v, settings); }, keys);
+  Declarations all;
+  ZoneDeclaration zone;
+  ServiceDeclaration service;
+  Operation operation;
+  ServerDeclaration server;
+  add_known(
+      "deployment", [&](Values& v) { read_deployment(v, all); }, keys);
+  add_known(
+      "zone", [&](Values& v) { read_zone(v, zone); }, keys);
+  add_known(
+      "service", [&](Values& v) { read_service(v, service); }, keys);
+  add_known(
+      "operation", [&](Values& v) { read_operation(v, operation); }, keys);
+  add_known(
+      "server", [&](Values& v) { read_server(v, server); }, keys);
+  return keys;
+}
+
 Checked<Settings> read_settings(std::string_view text,
                                 const std::string& file) {
   return Builder(text, file).build();
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -37,6 +37,9 @@
 Checked<Declarations> read_declarations(std::string_view text,
                                         const std::string& file);
 
+/// Every name that settings and declarations may have, as "section name".
+std::vector<std::string> known_keys();
+
 /// Findings of a change that is not allowed, such as another number of key
 /// slots for an existing service.
 std::vector<Finding> check_change(const Declarations& before,
--- /dev/null
+++ b/src/ctl/declarations.h
@@ -0,0 +1,23 @@
+#ifndef EELGRASSPIN_CTL_DECLARATIONS_H_
+#define EELGRASSPIN_CTL_DECLARATIONS_H_
+
+#include <string>
+#include <vector>
+
+#include "ctl/client.h"
+#include "ctl/options.h"
+
+namespace eelgrasspin::ctl {
+
+/// Differences of two declarations by section: "+ [zone a]", "- [zone b]",
+/// "~ [service c] deadline: 5s -> 7s".
+std::vector<std::string> differences(const std::string& before_ini,
+                                     const std::string& after_ini);
+
+int check(const std::string& file);
+int diff(Client& client, const std::string& file);
+int apply(Client& client, const Options& options, const std::string& file);
+
+}  // namespace eelgrasspin::ctl
+
+#endif  // EELGRASSPIN_CTL_DECLARATIONS_H_
--- /dev/null
+++ b/src/ctl/files.h
@@ -0,0 +1,15 @@
+#ifndef EELGRASSPIN_CTL_FILES_H_
+#define EELGRASSPIN_CTL_FILES_H_
+
+#include <optional>
+#include <string>
+
+namespace eelgrasspin::ctl {
+
+/// Empty if the file cannot be read. "-" is the standard input.
+std::optional<std::string> read_file(const std::string& path);
+bool write_file(const std::string& path, const std::string& text);
+
+}  // namespace eelgrasspin::ctl
+
+#endif  // EELGRASSPIN_CTL_FILES_H_
--- a/src/standin/server.cc
+++ b/src/standin/server.cc
@@ -67,7 +67,9 @@
       options_(std::move(options)),
       started_(io::steady_now()),
       grants_(random_incarnation()),
-      server_(io, {}, [this](const Exchange& exchange) { handle(exchange); }) {}
+      server_(io, {}, [this](const Exchange& exchange) { handle(exchange); }) {
+  if (!options_.log_file.empty()) log_.open(options_.log_file, std::ios::app);
+}
 
 BackendServer::~BackendServer() {
   for (const auto& job : running_) job->timer.cancel();
@@ -160,6 +162,7 @@
       {header_text(request, "eelgrasspin-request"),
        header_text(request, "idempotency-key"), job->key.str(), request.method,
        request.target, job->slot, job->epoch, wall_now(), std::nullopt, false});
+  if (log_.is_open()) log_ << request.target << std::endl;
   Duration work = work_time();
   job->timer.expires_after(std::min(work, options_.execution_limit));
   job->timer.async_wait([this, job](boost::system::error_code failed) {
--- a/src/standin/server.h
+++ b/src/standin/server.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <deque>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -28,6 +29,9 @@
   Duration execution_limit = seconds(1);
   bool checks_grants = true;
   bool crashable = false;  ///< A path with "/crash" ends the process.
+  /// File for a line of each execution as it starts, which outlives the
+  /// process. Empty: none.
+  std::string log_file;
   /// Ends the process; tests give their own.
   std::function<void()> crash;
 };
@@ -92,6 +96,7 @@
   std::deque<std::shared_ptr<Job>> waiting_;
   std::set<std::shared_ptr<Job>> running_;
   std::vector<Execution> executions_;
+  std::ofstream log_;
   std::uint32_t most_running_ = 0;
   bool shedding_ = false;
   bool truncating_ = false;
--- /dev/null
+++ b/tools/eelctl/main.cc
@@ -0,0 +1,46 @@
+#include <iostream>
+
+#include "ctl/client.h"
+#include "ctl/commands.h"
+#include "ctl/declarations.h"
+#include "ctl/exit_codes.h"
+#include "ctl/options.h"
+
+namespace {
+
+using eelgrasspin::ctl::Client;
+using eelgrasspin::ctl::Options;
+
+int usage(const std::string& form) {
+  std::cerr << "eelctl: " << form << "\n";
+  return eelgrasspin::ctl::kBadInput;
+}
+
+int run(const Options& options) {
+  namespace ctl = eelgrasspin::ctl;
+  Client client(options);
+  const auto& words = options.words;
+  if (words.empty()) return ctl::run_prompt(client, options);
+  const std::string& first = words.front();
+  if (first == "check" || first == "diff" || first == "apply") {
+    if (words.size() != 2) return usage(first + " FILE");
+    if (first == "check") return ctl::check(words[1]);
+    if (first == "diff") return ctl::diff(client, words[1]);
+    return ctl::apply(client, options, words[1]);
+  }
+  if (first == "report" && words.size() > 1 && words[1] == "verify") {
+    if (words.size() != 3) return usage("report verify FILE");
+    return ctl::verify_report_file(words[2]);
+  }
+  return ctl::run_command(client, options, ctl::command_text(words));
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  auto read = eelgrasspin::ctl::read_options(argc, argv);
+  if (auto* finished = std::get_if<eelgrasspin::ctl::Finished>(&read)) {
+    return finished->status;
+  }
+  return run(std::get<Options>(read));
+}
--- a/tools/eelload/load.cc
+++ b/tools/eelload/load.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cmath>
 #include <deque>
+#include <fstream>
 
 #include "io/http_client.h"
 
@@ -50,7 +51,11 @@
         body_(options.body_bytes, 'b'),
         timer_(io_),
         idle_(options.targets.size()),
-        open_(options.targets.size(), 0) {}
+        open_(options.targets.size(), 0) {
+    if (!options.record.empty()) {
+      record_.open(options.record, std::ios::app);
+    }
+  }
 
   LoadResult run() {
     start_ = io::steady_now();
@@ -155,6 +160,7 @@
     if (mark != std::string::npos) {
       message.target.replace(mark, 5, request.key);
     }
+    if (!options_.record.empty()) message.target += "?mark=" + echo(request);
     message.headers = {
         {"X-Echo", echo(request)},
         {"Eelgrasspin-Deadline-Ms", std::to_string(to_ms(options_.deadline))}};
@@ -174,6 +180,10 @@
     bool refused = outcome != nullptr && *outcome == "not run";
     if (refused && request.repeats_left > 0) return repeat(request);
     --outstanding_;
+    if (!options_.record.empty()) {
+      record_ << echo(request) << ' '
+              << (outcome == nullptr ? "no answer" : *outcome) << std::endl;
+    }
     if (request.counted) count(request, answer, outcome);
     close_if_done();
   }
@@ -232,6 +242,7 @@
   std::size_t next_target_ = 0;
   bool all_started_ = false;
   LoadResult result_;
+  std::ofstream record_;
 };
 
 }  // namespace
--- a/tools/eelload/load.h
+++ b/tools/eelload/load.h
@@ -43,6 +43,9 @@
   /// A refused request is sent again after a second, this many times.
   std::uint32_t repeats = 0;
   std::uint64_t seed = 20261204;
+  /// File for one line "MARK OUTCOME" of each request, counted or not; the mark
+  /// also goes into the query, so that backend servers log it. Empty: none.
+  std::string record;
 };
 
 struct LoadResult {
--- a/tools/eelload/main.cc
+++ b/tools/eelload/main.cc
@@ -64,6 +64,8 @@
   add("idempotency-keys", "send a fresh Idempotency-Key with each request");
   add("seed", options::value<std::uint64_t>()->default_value(defaults.seed),
       "seed of the drawn keys");
+  add("record", options::value<std::string>()->default_value(""),
+      "file for the outcome of each request");
   add("daemon-pid", options::value<int>(),
       "process whose processor time is counted for each request");
   add("help", "this text");
@@ -79,6 +81,7 @@
   for (const auto& target : given["target"].as<std::vector<std::string>>()) {
     load.targets.emplace_back(target);
   }
+  load.record = given["record"].as<std::string>();
   load.path = given["path"].as<std::string>();
   load.method = given["method"].as<std::string>();
   load.key_prefix = given["key-prefix"].as<std::string>();
--- a/tools/eelstandin/main.cc
+++ b/tools/eelstandin/main.cc
@@ -37,6 +37,8 @@
       "server: ms of work for each request");
   add("execution-limit", options::value<std::int64_t>()->default_value(1000),
       "server: ms after which work is given up");
+  add("log", options::value<std::string>()->default_value(""),
+      "server: file for a line of each request as it starts");
   add("no-grants", "server: checks no grants");
   add("crashable", "server: a path with /crash ends the process");
   add("help", "this text");
@@ -77,6 +79,7 @@
                const options::variables_map& given) {
   eelgrasspin::standin::ServerOptions server;
   server.name = ServerName(given["name"].as<std::string>());
+  server.log_file = given["log"].as<std::string>();
   server.concurrency = given["concurrency"].as<std::uint32_t>();
   server.cold_start = milliseconds(given["cold-start"].as<std::int64_t>());
   server.work = milliseconds(given["work"].as<std::int64_t>());
