--- a/tests/eelctl_test.cc
+++ b/tests/eelctl_test.cc
@@ -35,8 +35,8 @@
 }
 
 TEST(Eelctl, ShowsDifferencesBySection) {
-  std::vector<std::string> expected = {"- [zone b]", "+ [zone c]",
-                                       "~ [zone a] region: r -> q"};
+  std::vector<std::string> expected = {
+      "- [zone b]", "~ [zone a] region: r -> q", "+ [zone c]"};
   EXPECT_EQ(differences("[zone a]\nregion = r\n[zone b]\nregion = r\n",
                         "[zone a]\nregion = q\n[zone c]\nregion = r\n"),
             expected);
