--- a/src/core/membership/reports.cc
+++ b/src/core/membership/reports.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/membership/liveness.h"
+
 namespace eelgrasspin::core::membership {
 namespace {
 
@@ -26,20 +28,35 @@
   const FrontAssignment& assigned = front->second;
   if (assigned.daemon == daemon && assigned.epoch == report.front_epoch)
     state.membership.front_reports[report.server] = report;
+  if (!assigned.predecessors.empty()) state.membership.roster_due = true;
   if (report.stopped && names_predecessor(assigned, daemon, report.front_epoch))
     state.membership.stopped_fronts[report.server].insert(report.front_epoch);
 }
 
+void take_accounts(core::State& state, const Heartbeat& beat, Now now) {
+  HeardAccounts& known = state.membership.accounts[beat.daemon];
+  if (known.incarnation != beat.incarnation) known = HeardAccounts{};
+  known.heard = now.mono;
+  known.incarnation = beat.incarnation;
+  known.cache_revision = beat.cache_revision;
+  if (!beat.accounts.empty()) known.accounts = beat.accounts;
+}
+
 }  // namespace
 
 void take_reports(core::State& state, const Heartbeat& beat, Now now) {
   for (const FrontReport& report : beat.fronts)
     take_report(state, beat.daemon, report, now);
-  state.membership.accounts[beat.daemon] = {
-      now.mono, beat.incarnation, beat.cache_revision, beat.accounts};
+  if (coordinates(state, beat.zone, now)) take_accounts(state, beat, now);
 }
 
-void drop_void_reports(core::State& state, const ZoneRoster& roster) {
+void drop_void_reports(core::State& state, const ZoneRoster& before,
+                       const ZoneRoster& roster) {
+  for (const RosterMember& member : before.members) {
+    bool gone = find_member(roster.members, member.daemon) == nullptr;
+    bool self = member.daemon == state.self.name;
+    if (gone && !self) state.membership.accounts.erase(member.daemon);
+  }
   for (const auto& [server, front] : roster.fronts) {
     auto report = state.membership.front_reports.find(server);
     bool is_void = report != state.membership.front_reports.end() &&
