End a graceful stop when the roles are handed over

Cause: nothing ever ordered the end of the process after a stop; shell_test GracefulStopCutsOffNothing waited in vain. Change: the reducer orders it on a tick once no request is open, no zone is coordinated, no server is fronted and no known roster names this daemon as a front or as a predecessor that is waited for. A lone daemon of a zone has nobody to hand its fronts to and ends at the 30 s limit.

--- a/src/core/reducer.cc
+++ b/src/core/reducer.cc
@@ -30,6 +30,30 @@
   }
 }
 
+/// Whether a known roster still waits to hear that a front of this daemon has
+/// stopped.
+bool awaited_as_front(const State& state) {
+  bool awaited = false;
+  for_each_prefixed(state.cache, live_prefix(), [&](const StoreEntry& entry) {
+    const auto* roster = std::get_if<ZoneRoster>(&entry.record);
+    if (roster == nullptr) return;
+    for (const auto& [server, front] : roster->fronts) {
+      awaited |= front.daemon == state.self.name;
+      for (const FrontPredecessor& before : front.predecessors) {
+        awaited |= before.daemon == state.self.name;
+      }
+    }
+  });
+  return awaited;
+}
+
+/// Whether a stopping daemon has ended its requests and handed over its roles.
+bool stop_complete(const State& state, Now now) {
+  return state.stopping && request::open_requests(state) == 0 &&
+         membership::coordinated_zones(state, now).empty() &&
+         ownership::fronted_servers(state).empty() && !awaited_as_front(state);
+}
+
 }  // namespace
 
 Effects reduce(State& state, const Event& event, Now now) {
@@ -41,6 +65,9 @@
   ownership::step(state, event, now, effects);
   request::step(state, event, now, effects);
   operators::step(state, event, now, effects);
+  if (std::holds_alternative<Tick>(event) && stop_complete(state, now)) {
+    effects.emplace_back(ExitProcess{});
+  }
   return effects;
 }
 
