--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -136,7 +136,10 @@
   Values values(kEmpty, section, ignored);
   read(values);
   for (const std::string& name : values.known()) {
-    out.push_back(section + " " + name);
+    std::string key = section;
+    key += " ";
+    key += name;
+    out.push_back(std::move(key));
   }
 }
 
--- a/src/ctl/declarations.cc
+++ b/src/ctl/declarations.cc
@@ -111,8 +111,9 @@
     for (const auto& [name, value] : values) {
       const std::string& was = old->second[name];
       if (was == value) continue;
-      std::string line = "~ [" + title + "] ";
-      line += name + ": " + was + " -> " + value;
+      std::string line = "~ [";
+      line.append(title).append("] ").append(name).append(": ");
+      line.append(was).append(" -> ").append(value);
       out.push_back(std::move(line));
     }
   }
