--- a/src/ctl/report_page.cc
+++ b/src/ctl/report_page.cc
@@ -199,7 +199,8 @@
   for (const std::string& column : outcome_columns()) {
     std::string label = column;
     std::replace(label.begin(), label.end(), '_', ' ');
-    out += "<span><i class=\"" + column + "\"></i>" + label + "</span>";
+    out.append("<span><i class=\"").append(column).append("\"></i>");
+    out.append(label).append("</span>");
   }
   return out + "</p>\n";
 }
