--- a/src/core/request/intents.cc
+++ b/src/core/request/intents.cc
@@ -85,7 +85,8 @@
 }
 
 void send_wanted(core::State& state, const ZoneName& zone,
-                 std::vector<RequestId> wanted, Now now, Effects& effects) {
+                 const std::vector<RequestId>& wanted, Now now,
+                 Effects& effects) {
   LedgerCall call{.zone = zone};
   for (RequestId id : wanted) {
     OpenRequest* request = find_open(state, id);
--- a/src/core/request/ledger.cc
+++ b/src/core/request/ledger.cc
@@ -157,7 +157,8 @@
   if (now.mono - ledger.last_expiry < config::kIntentExpiryInterval) return;
   ledger.last_expiry = now.mono;
   std::erase_if(ledger.segments, [&](const auto& item) {
-    const auto& [number, segment] = item;
+    const std::uint64_t number = item.first;
+    const IntentSegment& segment = item.second;
     StoreKey key = intent_segment_key(zone, number);
     bool due = segment.sealed && is_expired(segment, now) &&
                !write_pending(state, key);
