--- a/src/codec/fleet_json.cc
+++ b/src/codec/fleet_json.cc
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include "codec/fleet_fields_p.h"
+
 namespace eelgrasspin::codec {
 namespace {
 
@@ -19,33 +21,21 @@
   }
 }
 
-std::string_view view_of(const json::value& value) {
-  const json::string& text = value.as_string();
-  return {text.data(), text.size()};
-}
-
-std::uint64_t number(const json::value& value) {
-  return value.to_number<std::uint64_t>();
-}
-
-std::string text_of(const json::object& object, std::string_view name) {
-  return std::string(object.at(name).as_string());
-}
-
 json::object daemon_object(const fleet::DaemonRecord& daemon) {
-  return {{"name", daemon.name.str()},
-          {"incarnation", daemon.incarnation.value},
-          {"zone", daemon.zone.str()},
-          {"region", daemon.region.str()},
-          {"peer", daemon.peer.str()}};
+  return {
+      {"name", daemon.name.str()}, {"incarnation", daemon.incarnation.value},
+      {"zone", daemon.zone.str()}, {"region", daemon.region.str()},
+      {"peer", daemon.peer.str()}, {"capacity", daemon.capacity}};
 }
 
 fleet::DaemonRecord daemon_of(const json::object& object) {
+  const json::value* capacity = object.if_contains("capacity");
   return {DaemonName(text_of(object, "name")),
           Incarnation(number(object.at("incarnation"))),
           ZoneName(text_of(object, "zone")),
           RegionName(text_of(object, "region")),
-          Endpoint(text_of(object, "peer"))};
+          Endpoint(text_of(object, "peer")),
+          capacity == nullptr ? 0 : capacity->to_number<std::uint32_t>()};
 }
 
 json::array life_array(const fleet::ServerLife& life) {
@@ -113,6 +103,9 @@
         Incarnation(number(object.at("incarnation")));
   }
   heartbeat.sequence = number(object.at("seq"));
+  if (const json::value* age = object.if_contains("age_ms")) {
+    heartbeat.age = milliseconds(number(*age));
+  }
   heartbeat.stopping = object.if_contains("stopping") != nullptr;
   if (const json::value* silent = object.if_contains("store_silent_ms")) {
     heartbeat.store_silence = milliseconds(number(*silent));
@@ -128,6 +121,12 @@
     heartbeat.loads.push_back({ServerName(view_of(parts.at(0))),
                                parts.at(1).to_number<std::uint32_t>()});
   }
+  if (const json::value* view = object.if_contains("view")) {
+    const json::array& parts = view->as_array();
+    heartbeat.view = fleet::Heartbeat::View{Version(number(parts.at(0))),
+                                            Version(number(parts.at(1))),
+                                            milliseconds(number(parts.at(2)))};
+  }
   if (const json::value* heats = object.if_contains("heats")) {
     for (const json::value& value : heats->as_array()) {
       heartbeat.heats.push_back(heat_of(value));
@@ -217,7 +216,9 @@
 
 }  // namespace
 
-std::string encode_heartbeat(const fleet::Heartbeat& heartbeat) {
+namespace {
+
+json::object heartbeat_object(const fleet::Heartbeat& heartbeat) {
   json::array terms;
   for (const auto& term : heartbeat.terms) {
     terms.push_back(json::array{term.service.str(), term.term.value,
@@ -250,6 +251,37 @@
     }
     object["strikes"] = std::move(strikes);
   }
+  if (heartbeat.view) {
+    object["view"] =
+        json::array{heartbeat.view->configuration.value,
+                    heartbeat.view->servers.value, to_ms(heartbeat.view->age)};
+  }
+  if (heartbeat.age.count() > 0) object["age_ms"] = to_ms(heartbeat.age);
+  return object;
+}
+
+fleet::HeartbeatBundle bundle_of(const json::object& object) {
+  fleet::HeartbeatBundle bundle;
+  bundle.relay = object.if_contains("relay") != nullptr;
+  for (const json::value& heartbeat : object.at("heartbeats").as_array()) {
+    bundle.heartbeats.push_back(heartbeat_of(heartbeat.as_object()));
+  }
+  return bundle;
+}
+
+}  // namespace
+
+std::string encode_heartbeat(const fleet::Heartbeat& heartbeat) {
+  return json::serialize(heartbeat_object(heartbeat));
+}
+
+std::string encode_bundle(const fleet::HeartbeatBundle& bundle) {
+  json::array heartbeats;
+  for (const fleet::Heartbeat& heartbeat : bundle.heartbeats) {
+    heartbeats.push_back(heartbeat_object(heartbeat));
+  }
+  json::object object = {{"heartbeats", std::move(heartbeats)}};
+  if (bundle.relay) object["relay"] = true;
   return json::serialize(object);
 }
 
@@ -266,13 +298,19 @@
 }
 
 Result<DaemonMessage> decode_datagram(std::string_view text) {
-  return guarded<DaemonMessage>(text, "message",
-                                [](const json::object& object) {
-                                  if (object.if_contains("map") != nullptr) {
-                                    return DaemonMessage(change_of(object));
-                                  }
-                                  return DaemonMessage(heartbeat_of(object));
-                                });
+  return guarded<DaemonMessage>(
+      text, "message", [](const json::object& object) {
+        if (object.if_contains("map") != nullptr) {
+          return DaemonMessage(change_of(object));
+        }
+        if (object.if_contains("as_of") != nullptr) {
+          return DaemonMessage(store_update_of(object));
+        }
+        if (object.if_contains("heartbeats") != nullptr) {
+          return DaemonMessage(bundle_of(object));
+        }
+        return DaemonMessage(heartbeat_of(object));
+      });
 }
 
 std::string encode_owner_map(const fleet::OwnerMap& map) {
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -13,20 +13,32 @@
 inline constexpr Duration kTick = milliseconds(20);
 
 // Heartbeats between daemons.
-/// Between two heartbeats to daemons of the own region, if load changed.
+/// Between two heartbeats to daemons of the own zone, if load changed.
 inline constexpr Duration kNearHeartbeat = milliseconds(60);
-/// Between two heartbeats to daemons of the own region, whatever changed.
+/// Between two heartbeats to daemons of the own zone, whatever changed; and of
+/// a coordinator to its region.
 inline constexpr Duration kIdleHeartbeat = milliseconds(200);
-/// Between two heartbeats to daemons of other regions: bytes between regions
-/// are paid for.
+/// Between two heartbeats of a coordinator to other regions: bytes between
+/// regions are paid for.
 inline constexpr Duration kFarHeartbeat = milliseconds(500);
-/// Silence after which a daemon of the own region is not counted as alive:
-/// five heartbeats.
+/// Between two bundles of a zone's heartbeats to another zone of the region.
+inline constexpr Duration kNearBundle = milliseconds(80);
+/// The same to a zone of another region.
+inline constexpr Duration kFarBundle = milliseconds(500);
+/// Silence after which a daemon of the own zone, or a coordinator of the own
+/// region, is not counted as alive: five heartbeats.
 inline constexpr Duration kDaemonSilence = milliseconds(1000);
-/// The same for daemons of other regions: three heartbeats and a half.
+/// The same for a coordinator of another region: three heartbeats and a half.
 inline constexpr Duration kFarDaemonSilence = milliseconds(1750);
-/// Between two reports of heat to a coordinator.
+/// Added to both for daemons whose heartbeats are passed on: their zone takes
+/// kDaemonSilence to replace a lost relay.
+inline constexpr Duration kRelayedSilence = milliseconds(750);
+/// A daemon that has just started tells every other one itself for this long.
+inline constexpr Duration kAnnounceTime = seconds(3);
+/// Between two reports of heat to a coordinator, or to the zone's relay.
 inline constexpr Duration kHeatInterval = milliseconds(600);
+/// A report older than this no longer counts: three intervals.
+inline constexpr Duration kHeatRetention = milliseconds(1800);
 /// A daemon names its zone and address in every so many heartbeats.
 inline constexpr std::uint64_t kFullHeartbeats = 8;
 /// ... and in every one for this long after its start.
@@ -86,18 +98,26 @@
 inline constexpr Duration kPlacementInterval = milliseconds(600);
 /// Keys whose heat a daemon reports, the hottest first.
 inline constexpr std::size_t kHeatKeys = 48;
+/// The same of a zone's relay, which reports for all daemons of its zone: the
+/// report still fits one datagram.
+inline constexpr std::size_t kRelayHeatKeys = 512;
 /// Time in which a key's reported heat falls to half.
 inline constexpr Duration kHeatHalfLife = milliseconds(2500);
 /// Load of a server against its share above which it gives keys away.
 inline constexpr double kOverload = 1.3;
 /// Requests a second, over the whole service, below which nothing moves.
 inline constexpr double kLeastRate = 4.0;
-/// Moves that one look may order.
+/// Moves that one look may order in a small fleet ...
 inline constexpr std::size_t kMovesPerLook = 6;
+/// ... and in a large one: one for each so many servers.
+inline constexpr std::size_t kServersPerExtraMove = 8;
 /// Keys that moved stay where they are for this long.
 inline constexpr Duration kMoveCooldown = milliseconds(2500);
-/// Ranges of one service above which no range is split any more.
+/// Ranges of a small service above which no range is split any more: each is
+/// renewed by a call of its own.
 inline constexpr std::size_t kMaxRanges = 160;
+/// The same for a large one, by server.
+inline constexpr std::size_t kRangesPerServer = 4;
 /// Share of a service's load that is assumed to lie evenly on all keys.
 inline constexpr double kBackgroundShare = 0.15;
 
@@ -161,6 +181,21 @@
 /// long before they count as gone: the platform names about two seconds.
 inline constexpr Duration kRegistryReturn = milliseconds(1800);
 
+// Copies of the store.
+/// Longest wait of a watch that only this daemon depends on: a connection that
+/// has gone silent is noticed after it, within the time in which a leaving
+/// server has to be known of.
+inline constexpr Duration kWatchWait = seconds(2);
+/// The same of a zone's relay: the others notice by its age that it has lost
+/// the store, and still learn of a leaving server in time.
+inline constexpr Duration kRelayWatchWait = seconds(1);
+/// Age of the relay's copy from which on a daemon watches the store itself: a
+/// wait, the pause between two watches, and two round trips.
+inline constexpr Duration kViewAge = milliseconds(1400);
+/// A copy that is older than the relay's for this long is brought up to date
+/// from the store: the relay's message was lost.
+inline constexpr Duration kViewBehind = milliseconds(150);
+
 // Graceful stop.
 /// After a stop is ordered, connections are still served for this long.
 inline constexpr Duration kStopLinger = milliseconds(2500);
--- a/src/fleet/effect.h
+++ b/src/fleet/effect.h
@@ -39,10 +39,28 @@
   Heartbeat heartbeat;
   std::vector<Endpoint> to;
 };
+struct SendBundle {
+  HeartbeatBundle bundle;
+  std::vector<Endpoint> to;
+};
 struct SendMapChange {
   MapChange change;
   std::vector<Endpoint> to;
 };
+struct SendStoreUpdate {
+  StoreUpdate update;
+  std::vector<Endpoint> to;
+};
+/// Watches the store for changes, or stops to. Each change is told in a
+/// StoreChanged.
+struct WatchStore {
+  bool on = true;
+  Duration wait{0};  ///< Longest time until the store answers.
+};
+/// Asks the store once for the changes of one part.
+struct CatchUp {
+  StoreView view = StoreView::kServers;
+};
 /// Writes the map if the store still has it at `expected` (0: absent).
 struct WriteMap {
   OwnerMap map;
@@ -79,7 +97,8 @@
 };
 
 using Effect = std::variant<SendAttempt, CancelAttempt, RelayAnswer,
-                            AnswerCaller, SendHeartbeat, SendMapChange,
+                            AnswerCaller, SendHeartbeat, SendBundle,
+                            SendMapChange, SendStoreUpdate, WatchStore, CatchUp,
                             WriteMap, ReadMap, GrantKeys, ReleaseKeys, Note>;
 using Effects = std::vector<Effect>;
 
--- a/src/fleet/election.cc
+++ b/src/fleet/election.cc
@@ -2,14 +2,25 @@
 
 #include <xxhash.h>
 
+#include <limits>
+#include <utility>
+
 #include "fleet/peers.h"
 
 namespace eelgrasspin::fleet {
 namespace {
 
-std::uint64_t rank(const ServiceName& service, const DaemonName& daemon) {
+/// The lower one takes over first: large machines before small ones, and
+/// services spread over machines of one size.
+std::pair<std::uint32_t, std::uint64_t> rank(const State& state,
+                                             const ServiceName& service,
+                                             const DaemonName& daemon) {
   std::string text = service.str() + "/" + daemon.str();
-  return XXH64(text.data(), text.size(), 0);
+  auto known = state.fleet.known.find(daemon);
+  std::uint32_t capacity =
+      known == state.fleet.known.end() ? 0 : known->second.capacity;
+  return {std::numeric_limits<std::uint32_t>::max() - capacity,
+          XXH64(text.data(), text.size(), 0)};
 }
 
 bool has_store(Duration silence) { return silence < config::kStoreSilence; }
@@ -17,13 +28,13 @@
 /// No other daemon that could take over ranks before this one.
 bool first_candidate(const State& state, const ServiceName& service,
                      TimePoint now) {
-  std::uint64_t own = rank(service, state.settings.self.name);
+  auto own = rank(state, service, state.settings.self.name);
   for (const auto& [name, peer] : state.fleet.heard) {
     if (!is_alive(state, name, now) || peer.heartbeat.stopping ||
         !has_store(peer.heartbeat.store_silence)) {
       continue;
     }
-    if (rank(service, name) < own) return false;
+    if (rank(state, service, name) < own) return false;
   }
   return true;
 }
@@ -48,7 +59,7 @@
     if (!is_alive(state, name, now) || name == map.coordinator) continue;
     for (const auto& term : peer.heartbeat.terms) {
       if (term.service == service && term.term == map.term &&
-          term.heard_before < config::kDaemonSilence) {
+          term.heard_before + (now - peer.heard) < config::kDaemonSilence) {
         return true;
       }
     }
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -22,6 +22,15 @@
 struct ServerRemoved {
   ServerName name;
 };
+/// A part of the store was listed; what it held was told before.
+struct ViewListed {
+  StoreView view = StoreView::kServers;
+  Version as_of;
+};
+/// The store's answer to a watch; without changes if its wait was over.
+struct StoreChanged {
+  StoreUpdate update;
+};
 struct MapSeen {
   OwnerMap map;
   Version revision;
@@ -53,6 +62,15 @@
   Heartbeat heartbeat;
 };
 
+struct BundleReceived {
+  HeartbeatBundle bundle;
+};
+
+/// Changes of the store that the zone's relay has seen.
+struct StoreUpdateReceived {
+  StoreUpdate update;
+};
+
 struct MapChangeReceived {
   MapChange change;
 };
@@ -114,10 +132,11 @@
 
 using Event =
     std::variant<ConfigurationSeen, ServersListed, ServerSeen, ServerRemoved,
-                 MapSeen, MapMissing, DaemonSeen, MapWriteEnded, StoreAnswered,
-                 StoreFailed, HeartbeatReceived, MapChangeReceived,
-                 RequestReceived, CallerLeft, AttemptEnded, OrderEnded, Tick,
-                 StopOrdered, Resumed>;
+                 ViewListed, StoreChanged, StoreUpdateReceived, MapSeen,
+                 MapMissing, DaemonSeen, MapWriteEnded, StoreAnswered,
+                 StoreFailed, HeartbeatReceived, BundleReceived,
+                 MapChangeReceived, RequestReceived, CallerLeft, AttemptEnded,
+                 OrderEnded, Tick, StopOrdered, Resumed>;
 
 }  // namespace eelgrasspin::fleet
 
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -1,11 +1,13 @@
 #ifndef EELGRASSPIN_FLEET_MODEL_H_
 #define EELGRASSPIN_FLEET_MODEL_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "eelgrasspin/ids.h"
@@ -109,6 +111,8 @@
   ZoneName zone;
   RegionName region;
   Endpoint peer;  ///< Where it receives datagrams.
+  /// Thousandths of a processor core; duties go to daemons that have most.
+  std::uint32_t capacity = 0;
   bool operator==(const DaemonRecord&) const = default;
 };
 
@@ -161,6 +165,42 @@
   };
   std::vector<Heat> heats;
   std::vector<Strike> strikes;  ///< Of the last seconds.
+  /// How current the copy of a daemon is that others follow.
+  struct View {
+    Version configuration;  ///< Revision of the last change.
+    Version servers;
+    Duration age{0};  ///< Since the store last answered.
+  };
+  std::optional<View> view;  ///< Only of a zone's relay.
+  /// Only in a bundle: time since the daemon that passes it on received it.
+  Duration age{0};
+};
+
+/// The parts of the store that every daemon keeps a copy of.
+enum class StoreView : std::uint8_t { kConfiguration, kServers };
+inline constexpr std::array<StoreView, 2> kStoreViews = {
+    StoreView::kConfiguration, StoreView::kServers};
+
+/// Changes of one part of the store.
+struct StoreUpdate {
+  StoreView view = StoreView::kServers;
+  /// A copy that is at least as new is complete after the changes.
+  Version base;
+  Version as_of;  ///< Revision of the store that they lead to.
+  /// The newest one; null if there is none.
+  std::shared_ptr<const Configuration> configuration;
+  Version configuration_revision;
+  /// Entries written, and names of entries removed, in the order of changes.
+  std::vector<std::variant<Server, ServerName>> servers;
+  /// The store has just been out of reach: entries may have lapsed in that.
+  bool after_outage = false;
+};
+
+/// Heartbeats of one availability zone's daemons, passed on to another zone.
+struct HeartbeatBundle {
+  std::vector<Heartbeat> heartbeats;
+  /// The receiver passes it on to the daemons of its zone.
+  bool relay = false;
 };
 
 /// What a coordinator changed in its map, told to all daemons at once.
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -1,28 +1,19 @@
 #include "fleet/peers.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "fleet/note.h"
 #include "fleet/ownership.h"
 #include "fleet/quarantine.h"
 #include "fleet/registry.h"
 #include "fleet/requests.h"
+#include "fleet/store_view.h"
+#include "fleet/zone_relay.h"
 
 namespace eelgrasspin::fleet {
 namespace {
 
-bool is_keyed(const State& state, const ServiceName& service) {
-  if (!state.configuration) return false;
-  auto found = state.configuration->services.find(service);
-  return found != state.configuration->services.end() && found->second.keyed;
-}
-
-/// Other regions share few servers with this one besides those that own keys.
-bool concerns_far(const State& state, const ServerState& server) {
-  return is_keyed(state, server.server.service) ||
-         distance_to(state, server.server.zone) == Distance::kFar;
-}
-
 std::vector<Heartbeat::Load> own_loads(const State& state, bool far) {
   std::vector<Heartbeat::Load> loads;
   for (const auto& [name, server] : state.servers) {
@@ -34,32 +25,6 @@
   return loads;
 }
 
-Heartbeat::Heat own_heat(const State& state, const ServiceName& service) {
-  Heartbeat::Heat heat{service, {}, {}};
-  auto found = state.heat.find(service);
-  if (found != state.heat.end()) {
-    for (const auto& [key, weight] : found->second.weights) {
-      heat.keys.push_back({ShardKey(key), weight});
-    }
-  }
-  std::size_t kept = std::min(heat.keys.size(), config::kHeatKeys);
-  std::partial_sort(
-      heat.keys.begin(), heat.keys.begin() + static_cast<std::ptrdiff_t>(kept),
-      heat.keys.end(), [](const KeyHeat& left, const KeyHeat& right) {
-        return left.weight > right.weight;
-      });
-  heat.keys.resize(kept);
-  auto servers = state.by_service.find(service);
-  if (servers == state.by_service.end()) return heat;
-  for (const ServerName& name : servers->second) {
-    const ServerState& server = state.servers.at(name);
-    if (server.answers >= 1) {
-      heat.speeds.push_back({name, server.answers, server.service_time});
-    }
-  }
-  return heat;
-}
-
 std::vector<Heartbeat::Term> own_terms(const State& state, TimePoint now) {
   std::vector<Heartbeat::Term> terms;
   for (const auto& [service, map] : state.maps) {
@@ -70,46 +35,29 @@
   return terms;
 }
 
-Heartbeat own_heartbeat(State& state, TimePoint now, bool far) {
-  Heartbeat heartbeat;
-  heartbeat.daemon = state.settings.self;
-  heartbeat.sequence = ++state.fleet.sequence;
-  heartbeat.full = heartbeat.sequence % config::kFullHeartbeats == 1 ||
-                   now - state.started < config::kFullAfterStart;
-  heartbeat.stopping = state.stopping;
-  heartbeat.store_silence = store_silence(state, now);
-  heartbeat.terms = own_terms(state, now);
-  heartbeat.loads = own_loads(state, far);
-  heartbeat.strikes = recent_strikes(state, now);
-  return heartbeat;
+/// A coordinator is waited for by everybody, and a new daemon is unknown.
+bool announces_to_all(const State& state, TimePoint now) {
+  if (state.fleet.heard.empty() ||
+      now - state.started < config::kAnnounceTime) {
+    return true;
+  }
+  return std::any_of(state.maps.begin(), state.maps.end(), [](const auto& map) {
+    return map.second.duty.has_value();
+  });
 }
 
-std::vector<Endpoint> receivers(const State& state, bool far) {
+/// Daemons of the own region, or of others, that are sent a heartbeat directly.
+std::vector<Endpoint> receivers(const State& state, bool far, bool all) {
   std::set<Endpoint> to;
   const DaemonRecord& self = state.settings.self;
   for (const auto& [name, daemon] : state.fleet.known) {
     if (name == self.name) continue;
-    if ((daemon.region != self.region) == far) to.insert(daemon.peer);
+    if ((daemon.region != self.region) != far) continue;
+    if (all || daemon.zone == self.zone) to.insert(daemon.peer);
   }
   return {to.begin(), to.end()};
 }
 
-/// Reports the heat of each keyed service to its coordinator.
-void send_heat(State& state, TimePoint now, Effects& effects) {
-  if (now - state.fleet.heat_sent < config::kHeatInterval) return;
-  state.fleet.heat_sent = now;
-  for (const auto& [service, map] : state.maps) {
-    if (!map.map || map.duty) continue;
-    auto coordinator = state.fleet.known.find(map.map->coordinator);
-    if (coordinator == state.fleet.known.end()) continue;
-    bool far = coordinator->second.region != state.settings.self.region;
-    Heartbeat heartbeat = own_heartbeat(state, now, far);
-    heartbeat.heats.push_back(own_heat(state, service));
-    effects.emplace_back(
-        SendHeartbeat{std::move(heartbeat), {coordinator->second.peer}});
-  }
-}
-
 void forget_silent(State& state, TimePoint now, Effects& effects) {
   for (auto it = state.fleet.heard.begin(); it != state.fleet.heard.end();) {
     if (now - it->second.heard <= config::kDaemonRetention) {
@@ -125,9 +73,13 @@
   }
 }
 
-void store_loads(State& state, const Heartbeat& heartbeat) {
+void store_loads(State& state, const Heartbeat& before,
+                 const Heartbeat& heartbeat) {
   const DaemonName& from = heartbeat.daemon.name;
-  for (auto& [server, loads] : state.fleet.loads) loads.erase(from);
+  for (const auto& load : before.loads) {
+    auto found = state.fleet.loads.find(load.server);
+    if (found != state.fleet.loads.end()) found->second.erase(from);
+  }
   for (const auto& load : heartbeat.loads) {
     state.fleet.loads[load.server][from] = load.in_flight;
   }
@@ -144,23 +96,22 @@
   }
 }
 
-void on_heartbeat(State& state, const HeartbeatReceived& received,
-                  TimePoint now, Effects& effects) {
-  const Heartbeat& heartbeat = received.heartbeat;
+bool accept_heartbeat(State& state, const Heartbeat& heartbeat, TimePoint now,
+                      Effects& effects) {
   const DaemonName& from = heartbeat.daemon.name;
-  if (from == state.settings.self.name) return;
+  if (from == state.settings.self.name) return false;
   auto found = state.fleet.heard.find(from);
   if (found != state.fleet.heard.end()) {
     const Heartbeat& last = found->second.heartbeat;
     // The time of day that incarnations are made of may jump back, so a lower
     // one is believed once the higher one is silent.
     if (heartbeat.daemon.incarnation < last.daemon.incarnation &&
-        now - found->second.heard < config::kDaemonSilence) {
-      return;
+        now - found->second.heard < silence_limit(state, from)) {
+      return false;
     }
     if (heartbeat.daemon.incarnation == last.daemon.incarnation &&
         heartbeat.sequence <= last.sequence) {
-      return;
+      return false;
     }
   }
   if (!is_alive(state, from, now)) {
@@ -174,36 +125,67 @@
   } else if (known != state.fleet.known.end()) {
     known->second.incarnation = heartbeat.daemon.incarnation;
   }
-  store_loads(state, heartbeat);
   PeerState& peer = state.fleet.heard[from];
-  std::vector<Heartbeat::Heat> heats = std::move(peer.heartbeat.heats);
-  peer = {heartbeat, now};
-  // Heat comes with some heartbeats only.
-  if (heartbeat.heats.empty()) peer.heartbeat.heats = std::move(heats);
+  store_loads(state, peer.heartbeat, heartbeat);
+  PeerState before = std::exchange(
+      peer, {heartbeat, now - heartbeat.age, now - heartbeat.age});
+  if (heartbeat.heats.empty()) {
+    peer.heartbeat.heats = std::move(before.heartbeat.heats);
+    peer.heat_heard = before.heat_heard;
+  }
   on_strikes(state, heartbeat.strikes, now);
   on_terms(state, heartbeat, now, effects);
-  retry_waiting(state, now, effects);
+  return true;
+}
+
+void on_heartbeat(State& state, const HeartbeatReceived& received,
+                  TimePoint now, Effects& effects) {
+  if (accept_heartbeat(state, received.heartbeat, now, effects)) {
+    retry_waiting(state, now, effects);
+  }
+}
+
+Heartbeat own_heartbeat(State& state, TimePoint now, bool far) {
+  Heartbeat heartbeat;
+  heartbeat.daemon = state.settings.self;
+  heartbeat.sequence = ++state.fleet.sequence;
+  heartbeat.full = heartbeat.sequence % config::kFullHeartbeats == 1 ||
+                   now - state.started < config::kFullAfterStart;
+  heartbeat.stopping = state.stopping;
+  heartbeat.store_silence = store_silence(state, now);
+  heartbeat.terms = own_terms(state, now);
+  heartbeat.loads = own_loads(state, far);
+  heartbeat.strikes = recent_strikes(state, now);
+  if (!far) heartbeat.view = own_view(state, now);
+  return heartbeat;
 }
 
 void send_heartbeats(State& state, TimePoint now, Effects& effects) {
   FleetState& fleet = state.fleet;
+  bool all = announces_to_all(state, now);
   if (now - fleet.far_sent >= config::kFarHeartbeat) {
     fleet.far_sent = now;
     forget_silent(state, now, effects);
-    std::vector<Endpoint> to = receivers(state, true);
-    if (fleet.heard.empty()) to = all_receivers(state);
-    effects.emplace_back(SendHeartbeat{own_heartbeat(state, now, true), to});
+    std::vector<Endpoint> to = fleet.heard.empty()
+                                   ? all_receivers(state)
+                                   : receivers(state, true, all);
+    if (!to.empty()) {
+      effects.emplace_back(SendHeartbeat{own_heartbeat(state, now, true), to});
+    }
   }
   bool idle_due = now - fleet.idle_sent >= config::kIdleHeartbeat;
   bool near_due =
       fleet.load_changed && now - fleet.near_sent >= config::kNearHeartbeat;
   if (idle_due || near_due) {
     fleet.near_sent = now;
-    fleet.idle_sent = now;
+    if (idle_due) fleet.idle_sent = now;
     fleet.load_changed = false;
-    effects.emplace_back(SendHeartbeat{own_heartbeat(state, now, false),
-                                       receivers(state, false)});
+    std::vector<Endpoint> to = receivers(state, false, all && idle_due);
+    if (!to.empty()) {
+      effects.emplace_back(SendHeartbeat{own_heartbeat(state, now, false), to});
+    }
   }
+  send_bundles(state, now, effects);
   send_heat(state, now, effects);
 }
 
@@ -230,9 +212,15 @@
 
 Duration silence_limit(const State& state, const DaemonName& daemon) {
   auto known = state.fleet.known.find(daemon);
-  bool near = known != state.fleet.known.end() &&
-              known->second.region == state.settings.self.region;
-  return near ? config::kDaemonSilence : config::kFarDaemonSilence;
+  const DaemonRecord& self = state.settings.self;
+  bool near =
+      known != state.fleet.known.end() && known->second.region == self.region;
+  Duration limit = near ? config::kDaemonSilence : config::kFarDaemonSilence;
+  bool direct = near && known->second.zone == self.zone;
+  for (const auto& [service, map] : state.maps) {
+    direct = direct || (map.map && map.map->coordinator == daemon);
+  }
+  return direct ? limit : limit + config::kRelayedSilence;
 }
 
 Duration store_silence(const State& state, TimePoint now) {
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -9,6 +9,12 @@
 void on_daemon(State& state, const DaemonSeen& seen);
 void on_heartbeat(State& state, const HeartbeatReceived& received,
                   TimePoint now, Effects& effects);
+/// Takes over what a heartbeat says. False if it is older than the last one.
+bool accept_heartbeat(State& state, const Heartbeat& heartbeat, TimePoint now,
+                      Effects& effects);
+/// The next heartbeat of this daemon, as daemons of other regions need it
+/// (`far`) or those of its own.
+Heartbeat own_heartbeat(State& state, TimePoint now, bool far);
 void send_heartbeats(State& state, TimePoint now, Effects& effects);
 /// Every daemon known, and the seeds.
 std::vector<Endpoint> all_receivers(const State& state);
--- a/src/fleet/placement.cc
+++ b/src/fleet/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 
 #include "fleet/config.h"
 
@@ -130,12 +131,6 @@
   return Run{ShardKey(widest->last.value - half + 1), widest->last, 0};
 }
 
-bool owns_nothing(const PlacementInput& input, const ServerLife& life) {
-  return std::none_of(
-      input.ranges.begin(), input.ranges.end(),
-      [&](const KeyRange& range) { return range.owner == life; });
-}
-
 const PlacedServer* extreme(const PlacementInput& input, const Loads& loads,
                             bool most) {
   const PlacedServer* found = nullptr;
@@ -160,8 +155,10 @@
 }
 
 const PlacedServer* newcomer_of(const PlacementInput& input) {
+  std::set<ServerLife> owners;
+  for (const KeyRange& range : input.ranges) owners.insert(range.owner);
   for (const PlacedServer& server : input.servers) {
-    if (owns_nothing(input, server.life)) return &server;
+    if (owners.count(server.life) == 0) return &server;
   }
   return nullptr;
 }
@@ -176,11 +173,16 @@
                                       : find_server(input, widest->owner);
 }
 
+/// Position of the range that holds the key; the number of ranges if none does.
 std::size_t range_of(const PlacementInput& input, ShardKey key) {
-  for (std::size_t i = 0; i < input.ranges.size(); ++i) {
-    if (input.ranges[i].first <= key && key <= input.ranges[i].last) return i;
+  auto next = std::upper_bound(input.ranges.begin(), input.ranges.end(), key,
+                               [](ShardKey wanted, const KeyRange& range) {
+                                 return wanted < range.first;
+                               });
+  if (next == input.ranges.begin() || std::prev(next)->last < key) {
+    return input.ranges.size();
   }
-  return input.ranges.size();
+  return static_cast<std::size_t>(next - input.ranges.begin()) - 1;
 }
 
 /// The hottest key cannot be split, so it goes to the fastest server.
@@ -300,24 +302,31 @@
   ranges = std::move(result);
 }
 
+std::size_t moves_per_look(std::size_t servers) {
+  return std::max(config::kMovesPerLook,
+                  servers / config::kServersPerExtraMove);
+}
+
+std::size_t most_ranges(std::size_t servers) {
+  return std::max(config::kMaxRanges, servers * config::kRangesPerServer);
+}
+
 std::vector<Move> plan_moves(const PlacementInput& input) {
   std::vector<Move> moves;
   PlacementInput working = input;
-  while (moves.size() < config::kMovesPerLook &&
-         working.ranges.size() < config::kMaxRanges) {
+  std::size_t most_moves = moves_per_look(input.servers.size());
+  std::size_t most = most_ranges(input.servers.size());
+  while (moves.size() < most_moves && working.ranges.size() < most) {
     auto move = next_move(working);
     if (!move) break;
     moves.push_back(*move);
     assign(working.ranges, *move, Epoch());
     std::vector<bool> movable;
     for (const KeyRange& range : working.ranges) {
-      bool was = false;
-      for (std::size_t i = 0; i < input.ranges.size(); ++i) {
-        was =
-            was || (input.movable[i] && input.ranges[i].first <= range.first &&
-                    range.last <= input.ranges[i].last);
-      }
-      movable.push_back(was && range.previous.empty());
+      // Moves only cut ranges, so each lies inside one that was there before.
+      std::size_t before = range_of(input, range.first);
+      movable.push_back(before < input.ranges.size() && input.movable[before] &&
+                        range.previous.empty());
     }
     working.movable = std::move(movable);
   }
--- a/src/fleet/placement.h
+++ b/src/fleet/placement.h
@@ -33,7 +33,13 @@
 std::vector<KeyRange> initial_ranges(const std::vector<PlacedServer>& servers,
                                      Epoch epoch);
 
-/// At most kMovesPerLook moves that even the load out.
+/// Moves that one look may order: the more servers, the more of them are
+/// overloaded at once.
+std::size_t moves_per_look(std::size_t servers);
+/// Ranges from which on none is split any more.
+std::size_t most_ranges(std::size_t servers);
+
+/// At most moves_per_look() moves that even the load out.
 std::vector<Move> plan_moves(const PlacementInput& input);
 
 /// The server with the least load against its capacity.
--- a/src/fleet/reduce.cc
+++ b/src/fleet/reduce.cc
@@ -6,32 +6,12 @@
 #include "fleet/peers.h"
 #include "fleet/registry.h"
 #include "fleet/requests.h"
+#include "fleet/store_view.h"
+#include "fleet/zone_relay.h"
 
 namespace eelgrasspin::fleet {
 namespace {
 
-void adopt(State& state, const ConfigurationSeen& seen, TimePoint now,
-           Effects& effects) {
-  const Configuration& next = *seen.configuration;
-  if (state.configuration && next.version <= state.configuration->version) {
-    if (next.version < state.configuration->version) {
-      note(effects, "config_ignored",
-           {{"version", text(next.version)},
-            {"current", text(state.configuration->version)},
-            {"revision", text(seen.revision.value)},
-            {"reason", "older"}});
-    }
-    return;
-  }
-  state.configuration = seen.configuration;
-  note(effects, "config_adopted",
-       {{"version", text(next.version)},
-        {"revision", text(seen.revision.value)},
-        {"routes", text(next.routes.size())},
-        {"services", text(next.services.size())}});
-  retry_waiting(state, now, effects);
-}
-
 void on_store_answered(State& state, TimePoint now, Effects& effects) {
   bool returned =
       state.store_heard && state.store_failed > state.store_answered;
@@ -57,6 +37,7 @@
 
 void on_tick(State& state, TimePoint now, Effects& effects) {
   expire_servers(state, now, effects);
+  tick_store_view(state, now, effects);
   tick_ownership(state, now, effects);
   tick_requests(state, now, effects);
   send_heartbeats(state, now, effects);
@@ -78,6 +59,7 @@
 
 State make_state(const Settings& settings, TimePoint now) {
   State state;
+  state.watch_wait = config::kWatchWait;
   state.settings = settings;
   state.started = now;
   state.store_answered = now;
@@ -91,7 +73,9 @@
   Effects effects;
   std::visit(
       Overloaded{
-          [&](const ConfigurationSeen& e) { adopt(state, e, now, effects); },
+          [&](const ConfigurationSeen& e) {
+            adopt_configuration(state, e, now, effects);
+          },
           [&](const ServersListed& e) {
             on_servers_listed(state, e, now, effects);
           },
@@ -99,6 +83,13 @@
           [&](const ServerRemoved& e) {
             on_server_removed(state, e, now, effects);
           },
+          [&](const ViewListed& e) { on_view_listed(state, e, now); },
+          [&](const StoreChanged& e) {
+            on_store_changed(state, e, now, effects);
+          },
+          [&](const StoreUpdateReceived& e) {
+            on_store_update(state, e, now, effects);
+          },
           [&](const MapSeen& e) { on_map(state, e, now, effects); },
           [&](const MapMissing& e) { on_map_missing(state, e, now); },
           [&](const DaemonSeen& e) { on_daemon(state, e); },
@@ -112,6 +103,7 @@
           [&](const HeartbeatReceived& e) {
             on_heartbeat(state, e, now, effects);
           },
+          [&](const BundleReceived& e) { on_bundle(state, e, now, effects); },
           [&](const MapChangeReceived& e) {
             on_map_change(state, e, now, effects);
           },
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -27,12 +27,6 @@
   server.leaving_since = now;
 }
 
-bool near_outage(const State& state, TimePoint now) {
-  bool in_outage = state.store_failed > state.store_answered;
-  return in_outage || (state.outage_ended > TimePoint() &&
-                       now - state.outage_ended < config::kRegistryReturn);
-}
-
 void store_server(State& state, const Server& server, TimePoint now,
                   Effects& effects) {
   auto [found, added] = state.servers.try_emplace(server.name);
@@ -90,6 +84,12 @@
 
 }  // namespace
 
+bool near_outage(const State& state, TimePoint now) {
+  bool in_outage = state.store_failed > state.store_answered;
+  return in_outage || (state.outage_ended > TimePoint() &&
+                       now - state.outage_ended < config::kRegistryReturn);
+}
+
 void on_servers_listed(State& state, const ServersListed& listed, TimePoint now,
                        Effects& effects) {
   std::set<ServerName> present;
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -15,6 +15,9 @@
 /// Drops entries that did not return after an outage, and old leavers.
 void expire_servers(State& state, TimePoint now, Effects& effects);
 
+/// The store is out of reach, or was until a moment ago: entries that lapsed in
+/// that time may return.
+bool near_outage(const State& state, TimePoint now);
 /// New work may be sent to the server.
 bool accepts_work(const ServerState& server);
 /// The life is listed, not leaving.
--- a/src/fleet/replan.cc
+++ b/src/fleet/replan.cc
@@ -35,7 +35,7 @@
     sum.total += answers * static_cast<double>(mean.count());
   };
   for (const auto& [name, peer] : state.fleet.heard) {
-    if (!is_alive(state, name, now)) continue;
+    if (now - peer.heat_heard > config::kHeatRetention) continue;
     for (const auto& heat : peer.heartbeat.heats) {
       if (heat.service != service) continue;
       for (const auto& speed : heat.speeds) {
@@ -111,7 +111,7 @@
     }
   }
   for (const auto& [name, peer] : state.fleet.heard) {
-    if (!is_alive(state, name, now)) continue;
+    if (now - peer.heat_heard > config::kHeatRetention) continue;
     for (const auto& reported : peer.heartbeat.heats) {
       if (reported.service != service) continue;
       for (const KeyHeat& key : reported.keys) {
@@ -183,14 +183,17 @@
 bool rehome(const State& state, const ServiceName& service, OwnerMap& next,
             TimePoint now, Effects& effects) {
   bool changed = false;
+  std::set<ServerName> silent = silent_servers(state, service, now);
+  auto usable = [&](const KeyRange& range) {
+    return is_current(state, range.owner) &&
+           silent.count(range.owner.name) == 0;
+  };
+  if (std::all_of(next.ranges.begin(), next.ranges.end(), usable)) return false;
   PlacementInput input = placement_input(state, service, next, now);
   if (input.servers.empty()) return false;
-  std::set<ServerName> silent = silent_servers(state, service, now);
   for (std::size_t i = 0; i < input.ranges.size(); ++i) {
     KeyRange range = input.ranges[i];
-    bool usable =
-        is_current(state, range.owner) && silent.count(range.owner.name) == 0;
-    if (usable) continue;
+    if (usable(range)) continue;
     auto to = heir(state, range.owner, input);
     if (!to) continue;
     next.next_epoch = next.next_epoch.next();
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -38,6 +38,7 @@
 struct PeerState {
   Heartbeat heartbeat;
   TimePoint heard;
+  TimePoint heat_heard;  ///< When `heartbeat.heats` came.
 };
 
 /// A daemon that announced itself in the store or by a heartbeat.
@@ -51,6 +52,9 @@
   TimePoint idle_sent;
   TimePoint far_sent;
   TimePoint heat_sent;
+  TimePoint near_bundle_sent;
+  TimePoint far_bundle_sent;
+  std::uint64_t bundles = 0;
   bool load_changed = false;
 };
 
@@ -184,6 +188,15 @@
   std::vector<double> credit;
 };
 
+/// How current this daemon's copy of one part of the store is.
+struct ViewState {
+  Version as_of;       ///< Complete up to this revision.
+  Version changed;     ///< Revision of the last change.
+  TimePoint answered;  ///< When the store last answered for it.
+  /// The zone's relay has had a newer one since then.
+  std::optional<TimePoint> behind_since;
+};
+
 struct State {
   Settings settings;
   TimePoint started;
@@ -205,6 +218,10 @@
   std::map<std::string, Duration> deadlines;
   std::deque<Suspect> suspects;  ///< Oldest first.
   std::map<Fingerprint, std::map<ServerLife, TimePoint>> strikes;
+  std::map<StoreView, ViewState> views;
+  /// Watches the store itself; otherwise the zone's relay tells changes.
+  bool watching = true;
+  Duration watch_wait{0};
   bool store_heard = false;
   TimePoint store_answered;
   TimePoint store_failed;  ///< Last time the store did not answer.
--- /dev/null
+++ b/src/fleet/store_view.cc
@@ -0,0 +1,190 @@
+#include "fleet/store_view.h"
+
+#include <algorithm>
+
+#include "eelgrasspin/result.h"
+#include "fleet/note.h"
+#include "fleet/peers.h"
+#include "fleet/registry.h"
+#include "fleet/requests.h"
+#include "fleet/zone_relay.h"
+
+namespace eelgrasspin::fleet {
+namespace {
+
+bool coordinates_any(const State& state) {
+  return std::any_of(state.maps.begin(), state.maps.end(), [](const auto& map) {
+    return map.second.duty.has_value();
+  });
+}
+
+/// What the zone's relay said of its copies; null if it is not to be relied on
+/// or is this daemon.
+const PeerState* followed(const State& state, TimePoint now) {
+  const DaemonRecord& self = state.settings.self;
+  auto relay = zone_relay(state, self.zone, now);
+  if (!relay || *relay == self.name) return nullptr;
+  const PeerState& peer = state.fleet.heard.at(*relay);
+  const Heartbeat& heartbeat = peer.heartbeat;
+  if (!heartbeat.view || heartbeat.store_silence.count() > 0) return nullptr;
+  Duration age = heartbeat.view->age + (now - peer.heard);
+  return age <= config::kViewAge ? &peer : nullptr;
+}
+
+bool any_unknown(const State& state) {
+  return std::any_of(
+      kStoreViews.begin(), kStoreViews.end(), [&](StoreView view) {
+        auto found = state.views.find(view);
+        return found == state.views.end() || found->second.as_of.value == 0;
+      });
+}
+
+void apply_changes(State& state, const StoreUpdate& update, TimePoint now,
+                   Effects& effects) {
+  if (update.after_outage) state.outage_ended = now;
+  if (update.configuration) {
+    adopt_configuration(state,
+                        {update.configuration, update.configuration_revision},
+                        now, effects);
+  }
+  for (const auto& change : update.servers) {
+    std::visit(Overloaded{[&](const Server& server) {
+                            on_server(state, {server}, now, effects);
+                          },
+                          [&](const ServerName& name) {
+                            on_server_removed(state, {name}, now, effects);
+                          }},
+               change);
+  }
+}
+
+bool is_empty(const StoreUpdate& update) {
+  return !update.configuration && update.servers.empty();
+}
+
+void catch_up(State& state, const Heartbeat::View& relay, TimePoint now,
+              Effects& effects) {
+  for (StoreView kind : kStoreViews) {
+    ViewState& view = state.views[kind];
+    Version changed =
+        kind == StoreView::kConfiguration ? relay.configuration : relay.servers;
+    if (changed <= view.as_of) {
+      view.behind_since.reset();
+    } else if (!view.behind_since) {
+      view.behind_since = now;
+    } else if (now - *view.behind_since >= config::kViewBehind) {
+      view.behind_since = now;
+      effects.emplace_back(CatchUp{kind});
+      note(effects, "store_view_behind",
+           {{"view", text(static_cast<std::uint64_t>(kind))},
+            {"as_of", text(view.as_of.value)},
+            {"relay_changed", text(changed.value)}});
+    }
+  }
+}
+
+}  // namespace
+
+void adopt_configuration(State& state, const ConfigurationSeen& seen,
+                         TimePoint now, Effects& effects) {
+  const Configuration& next = *seen.configuration;
+  if (state.configuration && next.version <= state.configuration->version) {
+    if (next.version < state.configuration->version) {
+      note(effects, "config_ignored",
+           {{"version", text(next.version)},
+            {"current", text(state.configuration->version)},
+            {"revision", text(seen.revision.value)},
+            {"reason", "older"}});
+    }
+    return;
+  }
+  state.configuration = seen.configuration;
+  note(effects, "config_adopted",
+       {{"version", text(next.version)},
+        {"revision", text(seen.revision.value)},
+        {"routes", text(next.routes.size())},
+        {"services", text(next.services.size())}});
+  retry_waiting(state, now, effects);
+}
+
+bool should_watch(const State& state, TimePoint now) {
+  // A daemon whose own calls fail has to notice when the store is back.
+  return store_silence(state, now).count() > 0 || any_unknown(state) ||
+         coordinates_any(state) || followed(state, now) == nullptr;
+}
+
+void on_view_listed(State& state, const ViewListed& listed, TimePoint now) {
+  ViewState& view = state.views[listed.view];
+  view.as_of = std::max(view.as_of, listed.as_of);
+  // What a list changed is not known, so followers have to list as well.
+  view.changed = view.as_of;
+  view.answered = now;
+}
+
+void on_store_changed(State& state, const StoreChanged& changed, TimePoint now,
+                      Effects& effects) {
+  StoreUpdate update = changed.update;
+  ViewState& view = state.views[update.view];
+  update.base = view.changed;
+  update.after_outage = near_outage(state, now);
+  view.answered = now;
+  view.as_of = std::max(view.as_of, update.as_of);
+  if (is_empty(update)) return;
+  view.changed = std::max(view.changed, update.as_of);
+  if (is_zone_relay(state, now)) {
+    std::vector<Endpoint> to = zone_members(state);
+    if (!to.empty()) {
+      effects.emplace_back(SendStoreUpdate{update, std::move(to)});
+    }
+  }
+  // The outage is this daemon's own and known already.
+  update.after_outage = false;
+  apply_changes(state, update, now, effects);
+}
+
+void on_store_update(State& state, const StoreUpdateReceived& received,
+                     TimePoint now, Effects& effects) {
+  const StoreUpdate& update = received.update;
+  ViewState& view = state.views[update.view];
+  // An update that does not connect to this copy shows as behind later on.
+  if (update.as_of <= view.as_of || update.base > view.as_of) return;
+  view.as_of = update.as_of;
+  view.changed = update.as_of;
+  view.behind_since.reset();
+  apply_changes(state, update, now, effects);
+}
+
+void tick_store_view(State& state, TimePoint now, Effects& effects) {
+  bool watch = should_watch(state, now);
+  bool alone = zone_members(state).empty() || !is_zone_relay(state, now);
+  Duration wait = alone ? config::kWatchWait : config::kRelayWatchWait;
+  if (watch != state.watching || wait != state.watch_wait) {
+    if (watch != state.watching) {
+      auto relay = zone_relay(state, state.settings.self.zone, now);
+      note(effects, watch ? "store_watched" : "store_followed",
+           {{"relay", relay ? relay->str() : "-"},
+            {"servers_as_of",
+             text(state.views[StoreView::kServers].as_of.value)}});
+    }
+    state.watching = watch;
+    state.watch_wait = wait;
+    effects.emplace_back(WatchStore{watch, wait});
+  }
+  if (watch) return;
+  if (const PeerState* peer = followed(state, now)) {
+    catch_up(state, *peer->heartbeat.view, now, effects);
+  }
+}
+
+std::optional<Heartbeat::View> own_view(const State& state, TimePoint now) {
+  if (!state.watching || any_unknown(state) || !is_zone_relay(state, now)) {
+    return std::nullopt;
+  }
+  const ViewState& configuration = state.views.at(StoreView::kConfiguration);
+  const ViewState& servers = state.views.at(StoreView::kServers);
+  return Heartbeat::View{
+      configuration.changed, servers.changed,
+      now - std::min(configuration.answered, servers.answered)};
+}
+
+}  // namespace eelgrasspin::fleet
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -155,9 +155,19 @@
           [this](const fleet::SendHeartbeat& e) {
             send_datagrams(codec::encode_heartbeat(e.heartbeat), e.to);
           },
+          [this](const fleet::SendBundle& e) {
+            send_datagrams(codec::encode_bundle(e.bundle), e.to);
+          },
           [this](const fleet::SendMapChange& e) {
             send_datagrams(codec::encode_map_change(e.change), e.to);
           },
+          [this](const fleet::SendStoreUpdate& e) {
+            // The others see by heartbeats that they miss one that is too long.
+            std::string text = codec::encode_store_update(e.update);
+            if (text.size() <= kMaxDatagram) send_datagrams(text, e.to);
+          },
+          [this](const fleet::WatchStore& e) { feed_.set_watch(e.on, e.wait); },
+          [this](const fleet::CatchUp& e) { feed_.catch_up(e.view); },
           [this](const fleet::WriteMap& e) { feed_.write_map(e); },
           [this](const fleet::ReadMap& e) { feed_.read_map(e.service); },
           [this](const fleet::GrantKeys& e) {
@@ -285,6 +295,12 @@
   std::visit(Overloaded{[this](fleet::Heartbeat& heartbeat) {
                           apply(fleet::HeartbeatReceived{std::move(heartbeat)});
                         },
+                        [this](fleet::HeartbeatBundle& bundle) {
+                          apply(fleet::BundleReceived{std::move(bundle)});
+                        },
+                        [this](fleet::StoreUpdate& update) {
+                          apply(fleet::StoreUpdateReceived{std::move(update)});
+                        },
                         [this](fleet::MapChange& change) {
                           apply(fleet::MapChangeReceived{std::move(change)});
                         }},
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -46,6 +46,7 @@
   std::set<std::shared_ptr<Connection>> connections;
   std::size_t open_exchanges = 0;
   bool closing = false;
+  bool accepting = true;  ///< Connections, and further requests on them.
 };
 
 namespace {
@@ -214,7 +215,7 @@
     parser_->body_limit(server_->options.body_bytes);
     parser_->eager(true);
     head_checked_ = false;
-    if (buffer_.size() > 0) return parse();
+    if (buffer_.size() > 0 && may_parse()) return parse();
     if (exchanges_.empty()) limit(server_->options.idle_limit);
     read_more();
   }
@@ -240,7 +241,7 @@
       buffer_.clear();
       return read_more();
     }
-    if (!stop_parsing_ && !full()) parse();
+    if (may_parse()) parse();
   }
 
   void on_read_failed() {
@@ -253,6 +254,10 @@
 
   bool full() const { return exchanges_.size() >= kMaxPipelined; }
 
+  bool may_parse() const {
+    return !stop_parsing_ && !full() && (receiving_ || server_->accepting);
+  }
+
   void parse() {
     if (!receiving_) {
       receiving_ = true;
@@ -306,7 +311,9 @@
     receiving_ = false;
     if (!writing_) timer_.cancel();
     auto exchange = add(std::move(request), keep_alive, head);
-    if (!keep_alive) stop_parsing_ = true;
+    // What comes behind it is sent again once its answer has closed the
+    // connection.
+    if (!keep_alive || server_->closing) stop_parsing_ = true;
     auto self = shared_from_this();
     server_->handler(exchange);
     if (closed_) return;
@@ -482,6 +489,7 @@
 }
 
 void HttpServer::stop_accepting() {
+  impl_->accepting = false;
   error_code ignored;
   impl_->acceptor.close(ignored);
 }
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -57,8 +57,10 @@
   std::optional<Error> listen(const Endpoint& endpoint);
   /// Where it listens, with the port the system chose for port 0.
   Endpoint local() const;
+  /// Takes no more connections, and no more requests on those it has.
   void stop_accepting();
-  /// Each connection is closed after its next answer.
+  /// Each connection takes at most one more request and is closed after its
+  /// last answer.
   void close_after_answers();
   /// Limits for requests and connections from now on.
   void set_limits(std::size_t header_bytes, std::size_t body_bytes,
--- a/src/io/store_feed.cc
+++ b/src/io/store_feed.cc
@@ -6,11 +6,8 @@
 namespace eelgrasspin::io {
 namespace {
 
-/// Longest time that a watch waits for a change. A connection that has gone
-/// silent is noticed after it, within the time in which a leaving server has to
-/// be known of.
-constexpr Duration kWatchWait = seconds(2);
-/// The same while the store does not answer: its return is noticed at once.
+/// Wait of a watch while the store does not answer, so that its return is
+/// noticed at once, and of one that only brings this daemon up to date.
 constexpr Duration kProbeWait = milliseconds(50);
 /// Pause between a change and the next watch: changes that come together cost
 /// one call, and a leaving server is still known of in good time.
@@ -36,6 +33,18 @@
   return std::string(kMapPrefix) + service.str();
 }
 
+std::optional<fleet::StoreView> view_of(ObjectKind kind) {
+  switch (kind) {
+    case ObjectKind::kConfiguration:
+      return fleet::StoreView::kConfiguration;
+    case ObjectKind::kServers:
+      return fleet::StoreView::kServers;
+    case ObjectKind::kRecords:
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
 Duration pause_after(std::uint32_t failures) {
   Duration pause = kFirstPause;
   for (std::uint32_t i = 1; i < failures && pause < kLongestPause; ++i) {
@@ -44,6 +53,14 @@
   return std::min(pause, kLongestPause);
 }
 
+void log_unreadable(const StoredObject& object, const std::string& why) {
+  log_line(LogLevel::kWarning,
+           {{"event", "object_unreadable"},
+            {"name", object.name},
+            {"revision", std::to_string(object.revision.value)},
+            {"why", why}});
+}
+
 }  // namespace
 
 StoreFeed::StoreFeed(boost::asio::io_context& io, FleetStore& store,
@@ -79,6 +96,7 @@
 
 void StoreFeed::list(ObjectKind name, const std::string& after) {
   if (after.empty()) kind(name).listed.clear();
+  kind(name).busy = true;
   store_.list(name, after, [this, name](PageResult result) {
     on_page(name, std::move(result));
   });
@@ -120,12 +138,41 @@
     for (const StoredObject& object : listed) emit(object);
   }
   // Changes of this system's own records are told by the daemons themselves.
-  if (name != ObjectKind::kRecords) watch(name);
+  auto view = view_of(name);
+  if (!view) {
+    state.busy = false;
+    return;
+  }
+  sink_(fleet::ViewListed{*view, state.as_of});
+  go_on(name);
 }
 
-void StoreFeed::watch(ObjectKind name) {
+void StoreFeed::go_on(ObjectKind name) {
   Kind& state = kind(name);
-  Duration wait = state.failures > 0 ? kProbeWait : kWatchWait;
+  state.busy = watching_;
+  if (!watching_) return;
+  watch(name, state.failures > 0 ? kProbeWait : watch_wait_);
+}
+
+void StoreFeed::set_watch(bool on, Duration wait) {
+  watching_ = on;
+  watch_wait_ = wait;
+  if (!on) return;
+  for (ObjectKind name : {ObjectKind::kConfiguration, ObjectKind::kServers}) {
+    if (!kind(name).busy) go_on(name);
+  }
+}
+
+void StoreFeed::catch_up(fleet::StoreView view) {
+  ObjectKind name = view == fleet::StoreView::kConfiguration
+                        ? ObjectKind::kConfiguration
+                        : ObjectKind::kServers;
+  if (!kind(name).busy) watch(name, kProbeWait);
+}
+
+void StoreFeed::watch(ObjectKind name, Duration wait) {
+  Kind& state = kind(name);
+  state.busy = true;
   store_.watch(name, state.as_of, wait, [this, name](PageResult result) {
     on_events(name, std::move(result));
   });
@@ -140,11 +187,11 @@
   Kind& state = kind(name);
   state.failures = 0;
   state.as_of = std::max(state.as_of, page.as_of);
-  for (const StoredObject& object : page.objects) emit(object);
-  if (page.objects.empty()) return watch(name);
+  sink_(fleet::StoreChanged{update_of(name, page)});
+  if (page.objects.empty()) return go_on(name);
   state.timer.expires_after(kWatchPause);
   state.timer.async_wait([this, name](const boost::system::error_code& failed) {
-    if (!failed) watch(name);
+    if (!failed) go_on(name);
   });
 }
 
@@ -164,17 +211,36 @@
       [this, name, relist](const boost::system::error_code& failed) {
         if (failed) return;
         if (relist) return list(name, {});
-        watch(name);
+        go_on(name);
       });
 }
 
+fleet::StoreUpdate StoreFeed::update_of(ObjectKind name,
+                                        const ObjectPage& page) {
+  fleet::StoreUpdate update;
+  update.view = name == ObjectKind::kConfiguration
+                    ? fleet::StoreView::kConfiguration
+                    : fleet::StoreView::kServers;
+  update.as_of = page.as_of;
+  for (const StoredObject& object : page.objects) {
+    if (const auto* unreadable = std::get_if<UnreadableObject>(&object.value)) {
+      log_unreadable(object, unreadable->why);
+    } else if (const auto* read =
+                   std::get_if<fleet::Configuration>(&object.value)) {
+      update.configuration = std::make_shared<fleet::Configuration>(*read);
+      update.configuration_revision = object.revision;
+    } else if (object.deleted && name == ObjectKind::kServers) {
+      update.servers.emplace_back(ServerName(object.name));
+    } else if (const auto* server = std::get_if<fleet::Server>(&object.value)) {
+      update.servers.emplace_back(*server);
+    }
+  }
+  return update;
+}
+
 void StoreFeed::emit(const StoredObject& object) {
   if (const auto* unreadable = std::get_if<UnreadableObject>(&object.value)) {
-    return log_line(LogLevel::kWarning,
-                    {{"event", "object_unreadable"},
-                     {"name", object.name},
-                     {"revision", std::to_string(object.revision.value)},
-                     {"why", unreadable->why}});
+    return log_unreadable(object, unreadable->why);
   }
   if (const auto* configuration =
           std::get_if<fleet::Configuration>(&object.value)) {
--- a/src/io/store_feed.h
+++ b/src/io/store_feed.h
@@ -15,8 +15,8 @@
 namespace eelgrasspin::io {
 
 /// Keeps this daemon's view of the store up to date: lists each kind once, then
-/// watches it, and lists it again when the history is gone. Writes this
-/// system's own records.
+/// watches it while told to, and lists it again when the history is gone.
+/// Writes this system's own records.
 class StoreFeed {
  public:
   using Sink = std::function<void(const fleet::Event&)>;
@@ -25,6 +25,10 @@
             const fleet::Settings& settings, Sink sink);
 
   void start();
+  /// Goes on or stops watching; a watch waits for at most `wait`.
+  void set_watch(bool on, Duration wait);
+  /// Asks once for the changes of one part.
+  void catch_up(fleet::StoreView view);
   void write_map(const fleet::WriteMap& write);
   void read_map(const ServiceName& service);
 
@@ -35,6 +39,7 @@
     Version as_of;
     std::vector<StoredObject> listed;
     std::uint32_t failures = 0;
+    bool busy = false;  ///< A call or a pause is under way.
   };
 
   Kind& kind(ObjectKind name);
@@ -43,9 +48,12 @@
   void finish_list(ObjectKind name);
   /// Daemons that start together register while others list already.
   void list_daemons_again();
-  void watch(ObjectKind name);
+  void watch(ObjectKind name, Duration wait);
+  /// Watches again unless another daemon does so for this one.
+  void go_on(ObjectKind name);
   void on_events(ObjectKind name, PageResult result);
   void retry(ObjectKind name, const StoreFailure& failure, bool relist);
+  fleet::StoreUpdate update_of(ObjectKind name, const ObjectPage& page);
   void emit(const StoredObject& object);
   void emit_record(const StoredObject& object, const RecordText& record);
   void emit_change(const ServiceName& service, const ChangeResult& result);
@@ -59,6 +67,8 @@
   std::map<ObjectKind, std::unique_ptr<Kind>> kinds_;
   boost::asio::steady_timer registration_;
   boost::asio::steady_timer relist_;
+  bool watching_ = true;
+  Duration watch_wait_ = fleet::config::kWatchWait;
 };
 
 }  // namespace eelgrasspin::io
--- a/tests/fleet_ownership_test.cc
+++ b/tests/fleet_ownership_test.cc
@@ -354,7 +354,8 @@
       14, rc::gen::inRange<std::uint32_t>(0, 12));
   auto whiches = *rc::gen::container<std::vector<std::uint32_t>>(
       14, rc::gen::inRange<std::uint32_t>(0, 60));
-  FleetWorld world(3, 4, seed);
+  auto zones = *rc::gen::inRange<std::size_t>(1, 4);
+  FleetWorld world(3 + zones, 4, seed, zones);
   world.run_for(seconds(2));
   for (std::size_t i = 0; i < kinds.size(); ++i) {
     draw_fault(world, kinds[i], whiches[i]);
--- a/tests/fleet_placement_test.cc
+++ b/tests/fleet_placement_test.cc
@@ -83,6 +83,20 @@
   EXPECT_LT(worst_level(input), 1.0);
 }
 
+/// Load: a large fleet whose heat lies on a thousand neighbouring keys, all at
+/// six of its servers.
+TEST(FleetPlacement, HeatIsSharedOutOverALargeFleet) {
+  PlacementInput input = input_of(180);
+  for (std::uint32_t key = 20'000; key < 22'000; key += 2) {
+    input.heat[ShardKey(key)] = 1.2;
+  }
+  EXPECT_GT(worst_level(input), 15.0);
+  for (int look = 0; look < 16; ++look) carry_out(input, plan_moves(input));
+  EXPECT_LT(worst_level(input), 1.3);
+  EXPECT_LE(input.ranges.size(), most_ranges(180) + 2 * moves_per_look(180));
+  EXPECT_TRUE(covers_all_keys(input.ranges));
+}
+
 TEST(FleetPlacement, EvenLoadMovesNothing) {
   PlacementInput input = input_of(4);
   for (std::uint32_t key = 0; key < 65'536; key += 256) {
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -43,8 +43,10 @@
 
 class FleetWorld {
  public:
-  FleetWorld(std::size_t daemons, std::size_t servers, std::uint32_t seed)
-      : random_(seed) {
+  /// Daemons take turns in `zones` availability zones.
+  FleetWorld(std::size_t daemons, std::size_t servers, std::uint32_t seed,
+             std::size_t zones = 1)
+      : random_(seed), zones_(zones) {
     auto configuration = std::make_shared<Configuration>();
     configuration->version = 1;
     configuration->services[kBoard] = {kBoard, true};
@@ -66,6 +68,9 @@
     }
   }
 
+  static ZoneName zone(std::size_t index) {
+    return ZoneName(index == 0 ? "z" : "z" + std::to_string(index));
+  }
   TimePoint now() const { return now_; }
   FleetFaults faults;
   bool store_up = true;
@@ -74,6 +79,8 @@
   std::set<std::size_t> cut_from_store;
   /// Keys held by two servers at once, in words; empty while all is well.
   std::vector<std::string> violations;
+  /// Heartbeats and bundles sent so far, one for each receiver.
+  std::size_t datagrams = 0;
 
   std::vector<FakeServer>& servers() { return servers_; }
   State& state(std::size_t daemon) { return *daemons_[daemon].state; }
@@ -97,10 +104,12 @@
   void start(std::size_t daemon) {
     Settings settings;
     settings.self = {DaemonName("d" + std::to_string(daemon)),
-                     Incarnation(++incarnations_), ZoneName("z"),
+                     Incarnation(++incarnations_), zone(daemon % zones_),
                      RegionName("r"),
                      Endpoint("10.0.0." + std::to_string(daemon + 1) + ":7")};
-    settings.regions = {{ZoneName("z"), RegionName("r")}};
+    for (std::size_t i = 0; i < zones_; ++i) {
+      settings.regions[zone(i)] = RegionName("r");
+    }
     for (std::size_t i = 0; i < daemons_.size() + 4; ++i) {
       settings.seeds.emplace_back("10.0.0." + std::to_string(i + 1) + ":7");
     }
@@ -262,7 +271,12 @@
   void execute(std::size_t daemon, const Effect& effect) {
     std::uint64_t life = daemons_[daemon].life;
     std::visit(Overloaded{
-                   [&](const SendHeartbeat& e) { broadcast(daemon, e); },
+                   [&](const SendHeartbeat& e) {
+                     broadcast(daemon, e.to, HeartbeatReceived{e.heartbeat});
+                   },
+                   [&](const SendBundle& e) {
+                     broadcast(daemon, e.to, BundleReceived{e.bundle});
+                   },
                    [&](const SendMapChange& e) {
                      for (std::size_t i = 0; i < daemons_.size(); ++i) {
                        if (i != daemon)
@@ -292,14 +306,16 @@
     after(milliseconds(1), [this, to, life, event] { post(to, life, event); });
   }
 
-  void broadcast(std::size_t daemon, const SendHeartbeat& send) {
+  void broadcast(std::size_t daemon, const std::vector<Endpoint>& receivers,
+                 const Event& event) {
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       if (i == daemon) continue;
       Endpoint endpoint("10.0.0." + std::to_string(i + 1) + ":7");
-      for (const Endpoint& to : send.to) {
-        if (to == endpoint) tell(daemon, i, HeartbeatReceived{send.heartbeat});
+      for (const Endpoint& to : receivers) {
+        if (to == endpoint) tell(daemon, i, event);
       }
     }
+    datagrams += receivers.size();
   }
 
   bool has_store(std::size_t daemon) const {
@@ -477,6 +493,7 @@
   }
 
   std::mt19937 random_;
+  std::size_t zones_ = 1;
   TimePoint now_{seconds(1000)};
   std::shared_ptr<const Configuration> configuration_;
   std::vector<Daemon> daemons_;
--- a/tests/pipeline_test.cc
+++ b/tests/pipeline_test.cc
@@ -83,6 +83,37 @@
   EXPECT_NE(second.find("Connection: close"), std::string::npos);
 }
 
+/// A caller that always has a request under way may not keep its connection,
+/// and with it the stopping process, busy for ever.
+TEST_F(Pipeline, NoFurtherRequestIsReadOnceAConnectionIsToClose) {
+  send(kFirst);
+  run_until([&] { return open_.size() == 1; });
+  server_.close_after_answers();
+  send(kSecond);
+  run_until([&] { return open_.size() == 2; });
+  open_[0]->answer({200, {}, "first"});
+  received("first");
+  send("GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+  io_.run_for(std::chrono::milliseconds(50));
+  io_.restart();
+  EXPECT_EQ(open_.size(), 2u);
+  open_[1]->answer({200, {}, "second"});
+  EXPECT_NE(received("second").find("Connection: close"), std::string::npos);
+}
+
+TEST_F(Pipeline, NoFurtherRequestIsReadOnceAcceptingHasStopped) {
+  send(kFirst);
+  run_until([&] { return open_.size() == 1; });
+  server_.close_after_answers();
+  server_.stop_accepting();
+  send(kSecond);
+  io_.run_for(std::chrono::milliseconds(50));
+  io_.restart();
+  EXPECT_EQ(open_.size(), 1u);
+  open_[0]->answer({200, {}, "first"});
+  EXPECT_NE(received("first").find("Connection: close"), std::string::npos);
+}
+
 TEST_F(Pipeline, EveryRequestOfAClosedConnectionIsTold) {
   send(kFirst + kSecond);
   run_until([&] { return open_.size() == 2; });
--- /dev/null
+++ b/tests/store_view_test.cc
@@ -0,0 +1,165 @@
+#include "fleet/store_view.h"
+
+#include <gtest/gtest.h>
+
+#include "fleet/reduce.h"
+
+namespace eelgrasspin::fleet {
+namespace {
+
+const DaemonName kRelay{"large"};
+
+/// One daemon of a zone whose relay is another daemon.
+class StoreViewTest : public ::testing::Test {
+ protected:
+  StoreViewTest() {
+    Settings settings;
+    settings.self = {DaemonName("self"), Incarnation(1),         ZoneName("z"),
+                     RegionName("r"),    Endpoint("10.0.0.1:7"), 100};
+    state_ = make_state(settings, now_);
+    for (StoreView view : kStoreViews) {
+      reduce(state_, ViewListed{view, Version(10)}, now_);
+    }
+    reduce(state_, StoreAnswered(), now_);
+  }
+
+  Heartbeat heartbeat(Version servers, Duration age) {
+    Heartbeat beat;
+    beat.daemon = {kRelay,          Incarnation(1),         ZoneName("z"),
+                   RegionName("r"), Endpoint("10.0.0.2:7"), 500};
+    beat.sequence = ++sequence_;
+    beat.view = Heartbeat::View{Version(10), servers, age};
+    return beat;
+  }
+  Effects hear(const Heartbeat& beat) {
+    return reduce(state_, HeartbeatReceived{beat}, now_);
+  }
+  Effects tick_for(Duration duration) {
+    Effects all;
+    for (TimePoint end = now_ + duration; now_ < end;) {
+      now_ += config::kTick;
+      Effects effects = reduce(state_, Tick(), now_);
+      all.insert(all.end(), effects.begin(), effects.end());
+    }
+    return all;
+  }
+  StoreUpdate update(Version base, Version as_of) {
+    StoreUpdate update;
+    update.view = StoreView::kServers;
+    update.base = base;
+    update.as_of = as_of;
+    Server server;
+    server.name = ServerName("s");
+    server.service = ServiceName("board");
+    server.zone = ZoneName("z");
+    update.servers.emplace_back(server);
+    return update;
+  }
+  template <class T>
+  static std::size_t count(const Effects& effects) {
+    return static_cast<std::size_t>(
+        std::count_if(effects.begin(), effects.end(), [](const Effect& effect) {
+          return std::holds_alternative<T>(effect);
+        }));
+  }
+
+  TimePoint now_{seconds(100)};
+  std::uint64_t sequence_ = 0;
+  State state_;
+};
+
+TEST_F(StoreViewTest, WatchesWithoutARelay) {
+  tick_for(seconds(1));
+  EXPECT_TRUE(state_.watching);
+}
+
+TEST_F(StoreViewTest, FollowsARelayWhoseCopyIsFresh) {
+  hear(heartbeat(Version(10), milliseconds(300)));
+  Effects effects = tick_for(config::kTick);
+  EXPECT_FALSE(state_.watching);
+  EXPECT_EQ(count<WatchStore>(effects), 1u);
+}
+
+/// A relay that is cut off from the store, frozen or lost must not keep the
+/// others from a change for longer than kViewAge.
+TEST_F(StoreViewTest, WatchesAgainOnceTheRelaysCopyIsOld) {
+  hear(heartbeat(Version(10), milliseconds(300)));
+  tick_for(milliseconds(200));
+  EXPECT_FALSE(state_.watching);
+  tick_for(milliseconds(700));
+  hear(heartbeat(Version(10), milliseconds(1200)));
+  tick_for(milliseconds(260));
+  EXPECT_TRUE(state_.watching);
+}
+
+TEST_F(StoreViewTest, WatchesWhileTheRelayCannotReachTheStore) {
+  Heartbeat beat = heartbeat(Version(10), Duration(0));
+  beat.store_silence = milliseconds(50);
+  hear(beat);
+  tick_for(config::kTick);
+  EXPECT_TRUE(state_.watching);
+}
+
+TEST_F(StoreViewTest, WatchesUntilItsOwnCallsSucceedAgain) {
+  now_ += milliseconds(10);
+  reduce(state_, StoreFailed{"silent"}, now_);
+  hear(heartbeat(Version(10), Duration(0)));
+  tick_for(config::kTick);
+  EXPECT_TRUE(state_.watching);
+  reduce(state_, StoreAnswered(), now_);
+  tick_for(config::kTick);
+  EXPECT_FALSE(state_.watching);
+}
+
+TEST_F(StoreViewTest, UpdatesThatConnectAreApplied) {
+  hear(heartbeat(Version(10), Duration(0)));
+  reduce(state_, StoreUpdateReceived{update(Version(10), Version(15))}, now_);
+  EXPECT_EQ(state_.servers.count(ServerName("s")), 1u);
+  EXPECT_EQ(state_.views[StoreView::kServers].as_of, Version(15));
+}
+
+TEST_F(StoreViewTest, UpdatesBehindALostOneAreFetchedFromTheStore) {
+  hear(heartbeat(Version(10), Duration(0)));
+  tick_for(config::kTick);
+  reduce(state_, StoreUpdateReceived{update(Version(12), Version(15))}, now_);
+  EXPECT_EQ(state_.servers.count(ServerName("s")), 0u);
+  hear(heartbeat(Version(15), Duration(0)));
+  Effects effects = tick_for(config::kViewBehind + config::kTick * 2);
+  EXPECT_EQ(count<CatchUp>(effects), 1u);
+  reduce(state_, StoreChanged{update(Version(), Version(16))}, now_);
+  EXPECT_EQ(count<CatchUp>(tick_for(milliseconds(400))), 0u);
+}
+
+TEST_F(StoreViewTest, EntriesThatLapsedInAnOutageAreWaitedFor) {
+  hear(heartbeat(Version(10), Duration(0)));
+  reduce(state_, StoreUpdateReceived{update(Version(10), Version(15))}, now_);
+  StoreUpdate removal = update(Version(15), Version(18));
+  removal.servers = {ServerName("s")};
+  removal.after_outage = true;
+  reduce(state_, StoreUpdateReceived{removal}, now_);
+  EXPECT_FALSE(state_.servers.at(ServerName("s")).removed);
+  tick_for(config::kRegistryReturn + config::kTick * 2);
+  EXPECT_TRUE(state_.servers.at(ServerName("s")).removed);
+}
+
+TEST_F(StoreViewTest, TheRelayPassesChangesOn) {
+  Heartbeat small = heartbeat(Version(10), Duration(0));
+  small.daemon.capacity = 50;
+  small.view.reset();
+  hear(small);
+  Effects effects =
+      reduce(state_, StoreChanged{update(Version(), Version(15))}, now_);
+  ASSERT_EQ(count<SendStoreUpdate>(effects), 1u);
+  for (const Effect& effect : effects) {
+    if (const auto* send = std::get_if<SendStoreUpdate>(&effect)) {
+      EXPECT_EQ(send->update.base, Version(10));
+      EXPECT_EQ(send->to, std::vector<Endpoint>{Endpoint("10.0.0.2:7")});
+    }
+  }
+  EXPECT_EQ(
+      count<SendStoreUpdate>(reduce(state_, StoreChanged{StoreUpdate{}}, now_)),
+      0u);
+}
+
+}  // namespace
+}  // namespace eelgrasspin::fleet
