A fault soak of the real processes on loopback

Cause: nothing ran the program's own processes under overlapping faults. Change: eelsoak (tests/soak) starts daemons as processes, links them to the stand-ins of store and servers by proxies that delay, reset, cut one way or silence, sends them signals, drains and crashes servers, harms the store and publishes configurations, all drawn from a seed. Callers keep connections until the process is gone. Checked while it runs: one owner, rising epochs, run once, not-run answers, own and whole answers, leaving servers, versions, stops in good order, recovery. The stand-ins of the platform keep leases on time.

--- /dev/null
+++ b/tests/soak/callers.h
@@ -0,0 +1,53 @@
+#ifndef EELGRASSPIN_TESTS_SOAK_CALLERS_H_
+#define EELGRASSPIN_TESTS_SOAK_CALLERS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "io/http_client.h"
+#include "tests/soak/fleet.h"
+
+namespace eelgrasspin::soak {
+
+/// Callers that send one request after the other on a connection that they
+/// keep until it breaks or is closed.
+class Callers {
+ public:
+  /// What a caller asks for.
+  enum class Kind { kKeyed, kOnce, kVersion };
+
+  Callers(Fleet& fleet, std::uint32_t seed);
+  /// Sends no more requests.
+  void stop() { stopped_ = true; }
+  /// Requests to this daemon that were answered 200 since the last call.
+  std::size_t take_served(const Daemon& daemon);
+
+ private:
+  struct Caller {
+    Caller(boost::asio::io_context& io, Daemon& target, Kind asks)
+        : daemon(target), kind(asks), timer(io) {}
+    Daemon& daemon;
+    Kind kind;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<io::HttpConnection> connection;
+    std::size_t served = 0;
+  };
+
+  void next(Caller& caller, Duration pause);
+  void call(Caller& caller);
+  void ended(Caller& caller, const std::string& id, std::uint64_t life,
+             TimePoint sent, const io::HttpResult& result);
+
+  Fleet& fleet_;
+  std::mt19937 random_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  std::uint64_t sent_ = 0;
+  bool stopped_ = false;
+};
+
+}  // namespace eelgrasspin::soak
+
+#endif  // EELGRASSPIN_TESTS_SOAK_CALLERS_H_
--- /dev/null
+++ b/tests/soak/main.cc
@@ -0,0 +1,145 @@
+#include <signal.h>
+
+#include <boost/program_options.hpp>
+#include <filesystem>
+#include <iostream>
+
+#include "tests/soak/callers.h"
+#include "tests/soak/faults.h"
+#include "tests/soak/fleet.h"
+
+/// Randomized faults against the real program on loopback.
+namespace eelgrasspin::soak {
+namespace {
+
+namespace options = boost::program_options;
+
+/// The system serves again this long after the last fault.
+constexpr Duration kRecovery = seconds(15);
+/// A loop that stands still for this long says that the machine is too busy for
+/// time bounds.
+constexpr Duration kLag = milliseconds(250);
+constexpr int kExitBroken = 1;
+constexpr int kExitUsage = 2;
+
+struct Plan {
+  std::string program;
+  std::string folder;
+  std::uint32_t seed = 1;
+  std::size_t seeds = 1;
+  std::size_t daemons = 4;
+  unsigned seconds_of_faults = 20;
+};
+
+void run_for(Fleet& fleet, Duration length) {
+  TimePoint end = io::steady_now() + length;
+  while (io::steady_now() < end) {
+    TimePoint before = io::steady_now();
+    fleet.io().run_for(std::chrono::milliseconds(10));
+    fleet.io().restart();
+    if (io::steady_now() - before > kLag) fleet.busy();
+    for (Daemon& daemon : fleet.daemons()) (void)fleet.running(daemon);
+  }
+}
+
+/// Every daemon has answered requests; runs at most until `limit`.
+bool all_serve(Fleet& fleet, Callers& callers, Duration limit) {
+  std::vector<bool> served(fleet.daemons().size());
+  for (TimePoint end = io::steady_now() + limit; io::steady_now() < end;) {
+    run_for(fleet, milliseconds(200));
+    bool all = true;
+    for (std::size_t i = 0; i < served.size(); ++i) {
+      served[i] = served[i] || callers.take_served(fleet.daemons()[i]) > 5;
+      all = all && served[i];
+    }
+    if (all) return true;
+  }
+  return false;
+}
+
+bool run_seed(const Plan& plan, std::uint32_t seed) {
+  std::string folder = plan.folder + "/seed-" + std::to_string(seed);
+  std::filesystem::create_directories(folder);
+  boost::asio::io_context io;
+  Fleet fleet(io, plan.daemons, plan.program, folder);
+  Callers callers(fleet, seed);
+  Promises& promises = fleet.promises();
+  if (!all_serve(fleet, callers, kRecovery)) {
+    promises.not_recovered("the start");
+  }
+  Faults faults(fleet, seed);
+  run_for(fleet, seconds(plan.seconds_of_faults));
+  faults.stop();
+  // Processes that were told to stop end by themselves.
+  run_for(fleet, seconds(7));
+  faults.heal();
+  for (Daemon& daemon : fleet.daemons()) (void)callers.take_served(daemon);
+  if (!all_serve(fleet, callers, kRecovery)) promises.not_recovered("the end");
+  callers.stop();
+  run_for(fleet, seconds(3));
+  promises.finish();
+  bool kept = promises.broken().empty();
+  std::cout << "seed " << seed << ": " << (kept ? "kept" : "BROKEN")
+            << ", requests=" << promises.requests()
+            << " served=" << promises.served()
+            << " faults=" << faults.history().size() << std::endl;
+  for (const std::string& broken : promises.broken()) {
+    std::cout << "  " << broken << "\n";
+  }
+  if (kept) {
+    std::filesystem::remove_all(folder);
+  } else {
+    for (const std::string& fault : faults.history()) {
+      std::cout << "    " << fault << "\n";
+    }
+    std::cout << "  logs: " << folder << std::endl;
+  }
+  return kept;
+}
+
+int run(int count, char** words) {
+  Plan plan;
+  options::options_description all("eelsoak");
+  all.add_options()("help", "show this")(
+      "program", options::value(&plan.program)->required(),
+      "the daemon's program")(
+      "logs", options::value(&plan.folder)->default_value("eelsoak-logs"),
+      "folder for the logs of seeds that fail")(
+      "seed", options::value(&plan.seed)->default_value(1), "the first seed")(
+      "seeds", options::value(&plan.seeds)->default_value(1),
+      "how many seeds, one after the other")(
+      "daemons", options::value(&plan.daemons)->default_value(4),
+      "daemons, 2 to 200")(
+      "seconds", options::value(&plan.seconds_of_faults)->default_value(20),
+      "time with faults, for each seed");
+  try {
+    options::variables_map given;
+    options::store(options::parse_command_line(count, words, all), given);
+    if (given.count("help") > 0) {
+      std::cout << all;
+      return 0;
+    }
+    options::notify(given);
+  } catch (const options::error& wrong) {
+    std::cerr << "eelsoak: " << wrong.what() << "\n" << all;
+    return kExitUsage;
+  }
+  if (plan.daemons < 2 || plan.daemons > 200) {
+    std::cerr << "eelsoak: --daemons takes 2 to 200\n";
+    return kExitUsage;
+  }
+  std::size_t broken = 0;
+  for (std::size_t i = 0; i < plan.seeds; ++i) {
+    if (!run_seed(plan, plan.seed + static_cast<std::uint32_t>(i))) ++broken;
+  }
+  std::cout << plan.seeds << " seeds, " << broken << " broken" << std::endl;
+  return broken == 0 ? 0 : kExitBroken;
+}
+
+}  // namespace
+}  // namespace eelgrasspin::soak
+
+int main(int count, char** words) {
+  ::signal(SIGPIPE, SIG_IGN);
+  return eelgrasspin::soak::run(count, words);
+}
--- /dev/null
+++ b/tests/soak/proxy.h
@@ -0,0 +1,51 @@
+#ifndef EELGRASSPIN_TESTS_SOAK_PROXY_H_
+#define EELGRASSPIN_TESTS_SOAK_PROXY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <set>
+
+#include "eelgrasspin/ids.h"
+#include "eelgrasspin/units.h"
+
+namespace eelgrasspin::soak {
+
+enum class LinkFault {
+  kNone,
+  kDelayed,      ///< Each piece of data waits for `delay`.
+  kRefused,      ///< Open connections are reset, new ones closed at once.
+  kAnswersLost,  ///< Cut one way: nothing comes back.
+  kSilent,       ///< Open connections carry nothing more; new ones hang.
+};
+
+/// A TCP proxy on loopback that harms the connections made through it. Data
+/// that a fault holds back is never delivered later.
+class Proxy {
+ public:
+  Proxy(boost::asio::io_context& io, const Endpoint& target);
+  ~Proxy();
+  Proxy(const Proxy&) = delete;
+  Proxy& operator=(const Proxy&) = delete;
+
+  /// Where to connect in place of the target.
+  Endpoint endpoint() const;
+  void set_fault(LinkFault fault, Duration delay = Duration(0));
+  LinkFault fault() const { return fault_; }
+  Duration delay() const { return delay_; }
+
+ private:
+  class Pair;
+  void accept();
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::endpoint target_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::set<std::shared_ptr<Pair>> pairs_;
+  LinkFault fault_ = LinkFault::kNone;
+  Duration delay_{0};
+};
+
+}  // namespace eelgrasspin::soak
+
+#endif  // EELGRASSPIN_TESTS_SOAK_PROXY_H_
