--- /dev/null
+++ b/src/fleet/answers.cc
@@ -0,0 +1,93 @@
+#include <algorithm>
+
+#include "fleet/note.h"
+#include "fleet/registry.h"
+#include "fleet/requests_p.h"
+
+namespace eelgrasspin::fleet {
+namespace {
+
+/// What was known when no server could take a request.
+void note_refusal(const State& state, const RequestState& request,
+                  std::string_view reason,
+                  const std::vector<Candidate>& candidates, TimePoint now,
+                  Effects& effects) {
+  auto map = state.maps.find(request.service);
+  bool keyed = request.key && map != state.maps.end() && map->second.map;
+  const KeyRange* range =
+      keyed ? find_range(*map->second.map, *request.key) : nullptr;
+  auto owner = range == nullptr ? state.servers.end()
+                                : state.servers.find(range->owner.name);
+  std::uint32_t least_load = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    least_load =
+        i == 0 ? candidates[i].load : std::min(least_load, candidates[i].load);
+  }
+  note(
+      effects, "request_refused",
+      {{"id", request.label},
+       {"reason", std::string(reason)},
+       {"owner", range == nullptr ? "-" : range->owner.name.str()},
+       {"owner_load", owner == state.servers.end()
+                          ? "-"
+                          : std::to_string(load_at(state, owner->second, now))},
+       {"arriving",
+        range != nullptr && !range->previous.empty() ? "yes" : "no"},
+       {"map_revision", keyed ? text(map->second.revision.value) : "-"},
+       {"usable_servers", text(candidates.size())},
+       {"least_load", std::to_string(least_load)},
+       {"store_age", text(now - state.store_answered)}});
+}
+
+}  // namespace
+
+void note_end(const RequestState& request, int status, std::string_view reason,
+              TimePoint now, Effects& effects) {
+  note(effects, "request_end",
+       {{"id", request.label},
+        {"status", std::to_string(status)},
+        {"reason", std::string(reason)},
+        {"route", request.route->name},
+        {"service", request.service.str()},
+        {"key", request.key ? std::to_string(request.key->value) : "-"},
+        {"server", request.server.empty() ? "-" : request.server.str()},
+        {"sends", std::to_string(request.sends)},
+        {"load_at_send", std::to_string(request.in_flight_at_send)},
+        {"elapsed", text(now - request.arrived)},
+        {"config", text(request.configuration->version)}});
+}
+
+void answer(State& state, RequestState& request, int status, Duration after,
+            std::string_view reason, TimePoint now, Effects& effects) {
+  effects.emplace_back(AnswerCaller{request.id, status, after, reason});
+  note_end(request, status, reason, now, effects);
+  state.requests.erase(request.id);
+}
+
+void relay(State& state, RequestState& request,
+           const std::shared_ptr<const ServerAnswer>& from_server, int status,
+           std::string_view reason, TimePoint now, Effects& effects) {
+  effects.emplace_back(RelayAnswer{request.id, from_server});
+  note_end(request, status, reason, now, effects);
+  state.requests.erase(request.id);
+}
+
+void refuse(State& state, RequestState& request, std::string_view reason,
+            TimePoint now, Effects& effects) {
+  if (request.failure) {
+    return relay(state, request, request.failure, kServerError,
+                 "server_failure", now, effects);
+  }
+  if (request.may_have_run) {
+    return answer(state, request, kBadGateway, Duration(0), reason, now,
+                  effects);
+  }
+  std::vector<Candidate> candidates =
+      all_candidates(state, request.service, now);
+  note_refusal(state, request, reason, candidates, now, effects);
+  Duration after =
+      retry_after(candidates, std::max(Duration(0), time_left(request, now)));
+  answer(state, request, kUnavailable, after, reason, now, effects);
+}
+
+}  // namespace eelgrasspin::fleet
--- /dev/null
+++ b/src/fleet/attempts.cc
@@ -0,0 +1,170 @@
+#include <algorithm>
+
+#include "fleet/learning.h"
+#include "fleet/note.h"
+#include "fleet/quarantine.h"
+#include "fleet/registry.h"
+#include "fleet/requests.h"
+#include "fleet/requests_p.h"
+
+namespace eelgrasspin::fleet {
+namespace {
+
+/// Statuses that promise that a request has not run and never will.
+bool promises_not_run(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/// Lets the request look for another server if it may be sent again.
+void try_again(State& state, RequestState& request, std::string_view reason,
+               TimePoint now, Effects& effects) {
+  bool sends_left = request.sends < request.route->attempts;
+  if (!sends_left || request.connect_failures >= config::kConnectAttempts) {
+    return refuse(state, request, reason, now, effects);
+  }
+  request.phase = RequestPhase::kWaiting;
+  if (now >= request.not_before) dispatch(state, request, now, effects);
+}
+
+void on_answered(State& state, RequestState& request, const AttemptEnded& ended,
+                 TimePoint now, Effects& effects) {
+  bool failed = ended.status >= kServerError;
+  auto server = state.servers.find(request.server);
+  if (server != state.servers.end()) {
+    learn_outcome(server->second, !failed, now);
+    if (!failed) {
+      learn_latency(state, server->second, now - request.sent,
+                    request.in_flight_at_send, now);
+    }
+  }
+  if (promises_not_run(ended.status)) {
+    // The status promises more than the server has stated.
+    request.may_have_run = true;
+    if (request.route->repeatable) {
+      return try_again(state, request, "unproven_refusal", now, effects);
+    }
+    return answer(state, request, kBadGateway, Duration(0), "unproven_refusal",
+                  now, effects);
+  }
+  if (failed && request.route->repeatable &&
+      request.sends < request.route->attempts &&
+      time_left(request, now) > request.expected) {
+    request.may_have_run = true;
+    request.failure = ended.answer;
+    return try_again(state, request, "server_failure", now, effects);
+  }
+  relay(state, request, ended.answer, ended.status, "answered", now, effects);
+}
+
+void on_not_run(State& state, RequestState& request, const AttemptEnded& ended,
+                TimePoint now, Effects& effects) {
+  auto server = state.servers.find(request.server);
+  if (server != state.servers.end()) {
+    learn_outcome(server->second, false, now);
+    if (ended.result == AttemptResult::kWrongOwner && !request.key) {
+      // The address belongs to another server now.
+      server->second.blocked_until = now + seconds(1);
+    }
+  }
+  if (request.key) request.not_before = now + config::kOwnerPause;
+  try_again(state, request,
+            ended.result == AttemptResult::kWrongOwner ? "wrong_owner"
+                                                       : "server_refused",
+            now, effects);
+}
+
+void on_not_sent(State& state, RequestState& request, const AttemptEnded& ended,
+                 TimePoint now, Effects& effects) {
+  auto server = state.servers.find(request.server);
+  if (server != state.servers.end()) {
+    learn_outcome(server->second, false, now);
+    server->second.blocked_until = now + config::kConnectBackoff;
+    if (ended.no_listener) {
+      on_server_crash(state, life_of(server->second.server), now, effects);
+    }
+  }
+  --request.sends;  // Nothing reached the server.
+  ++request.connect_failures;
+  try_again(state, request, "no_connection", now, effects);
+}
+
+void on_lost(State& state, RequestState& request, const AttemptEnded& ended,
+             TimePoint now, Effects& effects) {
+  auto server = state.servers.find(request.server);
+  if (server != state.servers.end()) learn_outcome(server->second, false, now);
+  if (server != state.servers.end()) {
+    suspect(state, request.fingerprint, life_of(server->second.server), now);
+  }
+  request.may_have_run = true;
+  bool silent = ended.result == AttemptResult::kSilent;
+  std::string_view reason = silent ? "no_answer" : "connection_lost";
+  if (request.route->repeatable) {
+    return try_again(state, request, reason, now, effects);
+  }
+  answer(state, request, silent ? kGatewayTimeout : kBadGateway, Duration(0),
+         reason, now, effects);
+}
+
+}  // namespace
+
+void end_attempt(State& state, RequestState& request) {
+  auto server = state.servers.find(request.server);
+  if (server != state.servers.end() && server->second.in_flight > 0) {
+    --server->second.in_flight;
+  }
+  state.attempts.erase(request.attempt);
+  state.fleet.load_changed = true;
+}
+
+void expire(State& state, RequestState& request, TimePoint now,
+            Effects& effects) {
+  if (request.phase == RequestPhase::kSent) {
+    effects.emplace_back(CancelAttempt{request.attempt});
+    auto server = state.servers.find(request.server);
+    if (server != state.servers.end()) {
+      learn_outcome(server->second, false, now);
+    }
+    end_attempt(state, request);
+    return answer(state, request, kGatewayTimeout, Duration(0), "deadline", now,
+                  effects);
+  }
+  refuse(state, request, "deadline", now, effects);
+}
+
+void on_attempt_ended(State& state, const AttemptEnded& ended, TimePoint now,
+                      Effects& effects) {
+  auto attempt = state.attempts.find(ended.id);
+  if (attempt == state.attempts.end()) return;
+  auto found = state.requests.find(attempt->second);
+  if (found == state.requests.end()) return;
+  RequestState& request = found->second;
+  end_attempt(state, request);
+  if (ended.result != AttemptResult::kAnswered) {
+    note(effects, "attempt_failed",
+         {{"id", request.label},
+          {"server", request.server.str()},
+          {"status", std::to_string(ended.status)},
+          {"why", ended.why},
+          {"after", text(now - request.sent)},
+          {"load_at_send", std::to_string(request.in_flight_at_send)}});
+  }
+  switch (ended.result) {
+    case AttemptResult::kAnswered:
+      on_answered(state, request, ended, now, effects);
+      break;
+    case AttemptResult::kNotRun:
+    case AttemptResult::kWrongOwner:
+      on_not_run(state, request, ended, now, effects);
+      break;
+    case AttemptResult::kNotSent:
+      on_not_sent(state, request, ended, now, effects);
+      break;
+    case AttemptResult::kLost:
+    case AttemptResult::kSilent:
+      on_lost(state, request, ended, now, effects);
+      break;
+  }
+  retry_waiting(state, now, effects);
+}
+
+}  // namespace eelgrasspin::fleet
--- /dev/null
+++ b/src/fleet/dispatch.cc
@@ -0,0 +1,170 @@
+#include <algorithm>
+
+#include "fleet/budget.h"
+#include "fleet/duration.h"
+#include "fleet/learning.h"
+#include "fleet/note.h"
+#include "fleet/quarantine.h"
+#include "fleet/registry.h"
+#include "fleet/requests_p.h"
+
+namespace eelgrasspin::fleet {
+namespace {
+
+/// Time that an answer takes to its caller.
+constexpr Duration kDelivery = milliseconds(20);
+
+enum class Unavailable : std::uint8_t { kNoServer, kNoOwner, kFull };
+
+std::string_view reason_of(Unavailable why) {
+  switch (why) {
+    case Unavailable::kNoServer:
+      return "no_server";
+    case Unavailable::kNoOwner:
+      return "no_owner";
+    case Unavailable::kFull:
+      return "servers_full";
+  }
+  return "unknown";
+}
+
+/// Room that is kept for callers who come back after a refusal.
+std::uint32_t favour(const RequestState& request) {
+  return request.returning ? config::kReturningQueue : 0;
+}
+
+std::variant<ServerName, Unavailable> owner_of(const State& state,
+                                               const RequestState& request,
+                                               TimePoint now) {
+  auto map = state.maps.find(request.service);
+  if (map == state.maps.end() || !map->second.map) return Unavailable::kNoOwner;
+  const KeyRange* range = find_range(*map->second.map, *request.key);
+  if (range == nullptr || !range->previous.empty() ||
+      !is_current(state, range->owner)) {
+    return Unavailable::kNoOwner;
+  }
+  const ServerState& server = state.servers.at(range->owner.name);
+  if (now < server.blocked_until) return Unavailable::kNoOwner;
+  Candidate owner = candidate_of(state, server, now);
+  owner.load -= std::min(owner.load, favour(request));
+  if (!has_room(owner, request.route->objective)) return Unavailable::kFull;
+  return range->owner.name;
+}
+
+std::variant<ServerName, Unavailable> any_server(State& state,
+                                                 const RequestState& request,
+                                                 TimePoint now) {
+  std::vector<Candidate> candidates =
+      all_candidates(state, request.service, now);
+  if (candidates.empty()) return Unavailable::kNoServer;
+  std::vector<Candidate> untried;
+  for (const Candidate& candidate : candidates) {
+    if (std::find(request.tried.begin(), request.tried.end(), candidate.name) ==
+        request.tried.end()) {
+      untried.push_back(candidate);
+      Candidate& added = untried.back();
+      added.load -= std::min(added.load, favour(request));
+    }
+  }
+  if (untried.empty()) return Unavailable::kNoServer;
+  auto chosen = choose(untried, request.route->objective, ++state.draws);
+  if (!chosen) return Unavailable::kFull;
+  return untried[*chosen].name;
+}
+
+void send(State& state, RequestState& request, const ServerName& name,
+          TimePoint now, Effects& effects) {
+  ServerState& server = state.servers.at(name);
+  Candidate candidate = candidate_of(state, server, now);
+  request.phase = RequestPhase::kSent;
+  request.attempt = AttemptId(state.next_attempt++);
+  request.server = name;
+  request.sent = now;
+  request.in_flight_at_send = candidate.load;
+  request.expected = expected_finish(candidate);
+  ++request.sends;
+  if (!request.key) request.tried.push_back(name);
+  ++server.in_flight;
+  state.fleet.load_changed = true;
+  state.attempts[request.attempt] = request.id;
+  effects.emplace_back(SendAttempt{
+      request.attempt, request.id, name, server.server.address,
+      time_left(request, now), last_moment(request) - now + kTimeoutGrace,
+      request.route->repeatable});
+  if (request.sends > 1) {
+    note(effects, "request_resent",
+         {{"id", request.label},
+          {"server", name.str()},
+          {"sends", std::to_string(request.sends)},
+          {"left", text(time_left(request, now))}});
+  }
+}
+
+}  // namespace
+
+std::vector<Candidate> all_candidates(const State& state,
+                                      const ServiceName& service,
+                                      TimePoint now) {
+  std::vector<Candidate> candidates;
+  auto found = state.by_service.find(service);
+  if (found == state.by_service.end()) return candidates;
+  for (const ServerName& name : found->second) {
+    const ServerState& server = state.servers.at(name);
+    if (!accepts_work(server) || now < server.blocked_until) continue;
+    candidates.push_back(candidate_of(state, server, now));
+  }
+  return candidates;
+}
+
+TimePoint last_moment(const RequestState& request) {
+  TimePoint timeout = request.arrived + request.route->timeout;
+  if (request.deadline < timeout) return request.deadline - kDelivery;
+  return timeout + kTimeoutGrace;
+}
+
+void dispatch(State& state, RequestState& request, TimePoint now,
+              Effects& effects) {
+  if (is_quarantined(state, request.fingerprint, now)) {
+    return refuse(state, request, "quarantined", now, effects);
+  }
+  auto target = request.key ? owner_of(state, request, now)
+                            : any_server(state, request, now);
+  if (const auto* name = std::get_if<ServerName>(&target)) {
+    if (request.sends > 0 && !spend_repeat(state, request.service, now)) {
+      return refuse(state, request, "retry_budget_spent", now, effects);
+    }
+    return send(state, request, *name, now, effects);
+  }
+  request.phase = RequestPhase::kWaiting;
+  Duration held = now - request.arrived;
+  Duration longest = scaled(request.route->objective, config::kHoldShare);
+  Unavailable why = std::get<Unavailable>(target);
+  // Waiting does not help where nothing is about to change.
+  bool no_hope = why == Unavailable::kNoServer ||
+                 (request.key && why == Unavailable::kFull);
+  if (no_hope || held >= longest) {
+    refuse(state, request, reason_of(why), now, effects);
+  }
+}
+
+void replace_slow(State& state, RequestState& request, TimePoint now,
+                  Effects& effects) {
+  double factor = request.key ? config::kOwnerPatience : config::kPatience;
+  bool due = request.route->repeatable &&
+             request.sends < request.route->attempts &&
+             now - request.sent > scaled(request.expected, factor) &&
+             time_left(request, now) > request.expected;
+  if (!due) return;
+  auto target = request.key ? owner_of(state, request, now)
+                            : any_server(state, request, now);
+  const auto* name = std::get_if<ServerName>(&target);
+  if (name == nullptr || !spend_repeat(state, request.service, now)) return;
+  effects.emplace_back(CancelAttempt{request.attempt});
+  auto server = state.servers.find(request.server);
+  if (server != state.servers.end()) learn_outcome(server->second, false, now);
+  end_attempt(state, request);
+  request.may_have_run = true;
+  send(state, request, *name, now, effects);
+}
+
+}  // namespace eelgrasspin::fleet
