Keep once-only requests off connections that servers forget

The pool risked up to half of the named idle time for it. Change: the shortest rest after which a kept connection was reset is remembered for 10 s; once-only requests use no connection that has rested half of that. A risky connection stays for repeatable requests.

--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -17,6 +17,13 @@
 constexpr double kRepeatableShare = 0.8;
 constexpr double kOnceShare = 0.5;
 constexpr std::size_t kMaxIdlePerServer = 8;
+/// A connection that is reset at its next request after a shorter rest was not
+/// forgotten: its server ended or was full.
+constexpr Duration kLeastRest = milliseconds(100);
+/// Share of the rest after which a connection was forgotten that a request
+/// which may run once risks, for this long.
+constexpr double kForgottenShare = 0.5;
+constexpr Duration kForgottenMemory = seconds(10);
 
 Duration keep_time(const HttpAnswer& answer) {
   const std::string* field = find_header(answer.headers, "keep-alive");
@@ -36,43 +43,53 @@
 }  // namespace
 
 BackendPool::~BackendPool() {
-  for (const auto& [number, connection] : busy_) connection->close();
+  for (const auto& [number, busy] : busy_) busy.connection->close();
   for (const auto& [address, kept] : idle_) {
     for (const Idle& idle : kept) idle.connection->close();
   }
 }
 
-std::shared_ptr<HttpConnection> BackendPool::take(const Endpoint& address,
-                                                  bool repeatable) {
+Duration BackendPool::longest_rest(const Idle& idle, bool repeatable,
+                                   TimePoint now) const {
+  if (repeatable) return scaled(idle.keep_for, kRepeatableShare);
+  Duration rest = scaled(idle.keep_for, kOnceShare);
+  bool known =
+      forgotten_after_.count() > 0 && now - forgotten_at_ < kForgottenMemory;
+  return known ? std::min(rest, scaled(forgotten_after_, kForgottenShare))
+               : rest;
+}
+
+BackendPool::Busy BackendPool::take(const Endpoint& address, bool repeatable) {
   std::vector<Idle>& kept = idle_[address];
   TimePoint now = steady_now();
   // The one used last is the youngest, and the likeliest to be alive.
   while (!kept.empty()) {
+    Duration rested = now - kept.back().connection->last_answer();
+    bool alive = kept.back().connection->idle() &&
+                 rested < longest_rest(kept.back(), true, now);
+    if (alive && rested >= longest_rest(kept.back(), repeatable, now)) {
+      break;  // Too risky for this request; a repeatable one may use it.
+    }
     Idle idle = std::move(kept.back());
     kept.pop_back();
-    Duration age = now - idle.connection->last_answer();
-    if (idle.connection->idle() &&
-        age <
-            scaled(idle.keep_for, repeatable ? kRepeatableShare : kOnceShare)) {
-      return idle.connection;
-    }
+    if (alive) return {std::move(idle.connection), rested};
     idle.connection->close();
   }
   ++made_;
-  return make_http_connection(io_, address);
+  return {make_http_connection(io_, address), Duration(0)};
 }
 
 std::uint64_t BackendPool::start(Call call, HttpCallback done) {
   std::uint64_t number = next_++;
-  auto connection = take(call.address, call.repeatable);
-  busy_[number] = connection;
-  connection->exchange_checked(call.request, call.limit,
-                               std::move(call.belongs),
-                               [this, number, address = call.address,
-                                done = std::move(done)](HttpResult result) {
-                                 finish(number, address, result);
-                                 done(std::move(result));
-                               });
+  Busy busy = take(call.address, call.repeatable);
+  busy_[number] = busy;
+  busy.connection->exchange_checked(
+      call.request, call.limit, std::move(call.belongs),
+      [this, number, address = call.address,
+       done = std::move(done)](HttpResult result) {
+        finish(number, address, result);
+        done(std::move(result));
+      });
   return number;
 }
 
@@ -80,8 +97,10 @@
                          const HttpResult& result) {
   auto found = busy_.find(number);
   if (found == busy_.end()) return;
-  std::shared_ptr<HttpConnection> connection = std::move(found->second);
+  Busy busy = std::move(found->second);
   busy_.erase(found);
+  learn_rest(busy, result);
+  std::shared_ptr<HttpConnection> connection = std::move(busy.connection);
   std::vector<Idle>& kept = idle_[address];
   const auto* answer = std::get_if<HttpAnswer>(&result);
   if (answer == nullptr) {
@@ -95,10 +114,24 @@
   }
 }
 
+void BackendPool::learn_rest(const Busy& busy, const HttpResult& result) {
+  const auto* failure = std::get_if<HttpFailure>(&result);
+  if (failure == nullptr || failure->kind != HttpFailureKind::kClosed ||
+      busy.rested < kLeastRest) {
+    return;
+  }
+  TimePoint now = steady_now();
+  bool known =
+      forgotten_after_.count() > 0 && now - forgotten_at_ < kForgottenMemory;
+  forgotten_after_ =
+      known ? std::min(forgotten_after_, busy.rested) : busy.rested;
+  forgotten_at_ = now;
+}
+
 void BackendPool::cancel(std::uint64_t number) {
   auto found = busy_.find(number);
   if (found == busy_.end()) return;
-  found->second->close();
+  found->second.connection->close();
   busy_.erase(found);
 }
 
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -42,14 +42,24 @@
     std::shared_ptr<HttpConnection> connection;
     Duration keep_for{0};  ///< As the server named it.
   };
-  std::shared_ptr<HttpConnection> take(const Endpoint& address,
-                                       bool repeatable);
+  struct Busy {
+    std::shared_ptr<HttpConnection> connection;
+    Duration rested{0};  ///< Idle for this long before; 0 if it is new.
+  };
+  Busy take(const Endpoint& address, bool repeatable);
+  /// Longest rest after which a connection is used again.
+  Duration longest_rest(const Idle& idle, bool repeatable, TimePoint now) const;
   void finish(std::uint64_t number, const Endpoint& address,
               const HttpResult& result);
+  void learn_rest(const Busy& busy, const HttpResult& result);
 
   boost::asio::io_context& io_;
   std::map<Endpoint, std::vector<Idle>> idle_;
-  std::map<std::uint64_t, std::shared_ptr<HttpConnection>> busy_;
+  std::map<std::uint64_t, Busy> busy_;
+  /// The shortest rest after which a connection turned out to be forgotten by
+  /// its server, and when that was seen last.
+  Duration forgotten_after_{0};
+  TimePoint forgotten_at_;
   std::uint64_t next_ = 1;
   std::uint64_t made_ = 0;
 };
