Give long runs time before a second server is tried

Work varies widely (spread 0.8, one in a hundred takes five times as long), and the same request takes as long on the next server: cancelling at three times the expected time threw away runs that were about to end. Change: six times the expected time, or sooner where 1.5 times would be left until the deadline, and never before three times. Soak: once-only work takes 150 ms, so that faults meet it.

--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -146,8 +146,13 @@
 inline constexpr double kRetryAfterShare = 0.3;
 inline constexpr Duration kLeastRetryAfter = milliseconds(100);
 /// A repeatable request is sent to another server when its answer takes this
-/// many times the expected time.
-inline constexpr double kPatience = 3.0;
+/// many times the expected time: the longest runs that users name for their
+/// services take five times the usual one.
+inline constexpr double kPatience = 6.0;
+/// ... or sooner, so that this many times the expected time are left for it ...
+inline constexpr double kSecondTry = 1.5;
+/// ... but not before this many times.
+inline constexpr double kLeastPatience = 3.0;
 /// The same for a keyed request, which only its owner can serve: on another
 /// connection, in case the first one has gone silent.
 inline constexpr double kOwnerPatience = 5.0;
--- a/src/fleet/dispatch.cc
+++ b/src/fleet/dispatch.cc
@@ -100,6 +100,18 @@
   }
 }
 
+/// How long an answer is waited for before the request is sent once more.
+/// Answers to load whose work varies widely: a run that is cancelled is lost,
+/// so it is given time while a second one could still end before the deadline.
+Duration patience(const RequestState& request) {
+  if (request.key) return scaled(request.expected, config::kOwnerPatience);
+  Duration second_try = scaled(request.expected, config::kSecondTry);
+  Duration latest = request.deadline - request.sent - second_try;
+  return std::max(
+      scaled(request.expected, config::kLeastPatience),
+      std::min(scaled(request.expected, config::kPatience), latest));
+}
+
 }  // namespace
 
 std::vector<Candidate> all_candidates(const State& state,
@@ -149,10 +161,9 @@
 
 void replace_slow(State& state, RequestState& request, TimePoint now,
                   Effects& effects) {
-  double factor = request.key ? config::kOwnerPatience : config::kPatience;
   bool due = request.route->repeatable &&
              request.sends < request.route->attempts &&
-             now - request.sent > scaled(request.expected, factor) &&
+             now - request.sent > patience(request) &&
              time_left(request, now) > request.expected;
   if (!due) return;
   auto target = request.key ? owner_of(state, request, now)
--- a/tests/fleet_requests_test.cc
+++ b/tests/fleet_requests_test.cc
@@ -255,6 +255,27 @@
   EXPECT_EQ(cancels_.size(), 1u);
 }
 
+/// Load: work of which one request in fifty takes five times the usual time. A
+/// run that is about to end is not thrown away for one that starts anew.
+TEST_F(FleetRequests, LongRunIsNotReplacedWhileASecondOneWouldStillBeInTime) {
+  configure();
+  add("s1", kDesk);
+  for (std::uint64_t id = 1; id <= 20; ++id) {
+    request(id, "/safe/x");
+    pass(milliseconds(100));
+    end(AttemptResult::kAnswered, 200);
+  }
+  sends_.clear();
+  add("s2", kDesk);
+  request(30, "/safe/x");
+  ASSERT_EQ(sends_.size(), 1u);
+  pass(milliseconds(500));
+  EXPECT_EQ(sends_.size(), 1u);
+  EXPECT_TRUE(cancels_.empty());
+  pass(milliseconds(300));
+  EXPECT_EQ(sends_.size(), 2u);
+}
+
 TEST_F(FleetRequests, CallerWhoLeavesEndsTheWork) {
   configure();
   add("s1", kDesk);
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -21,6 +21,9 @@
 constexpr int kReadyPort = 18'081;
 constexpr int kPeerPort = 18'082;
 constexpr std::size_t kZones = 2;
+constexpr Duration kWork = milliseconds(15);
+/// Long enough that requests which may run once are under way at most faults.
+constexpr Duration kOnceWork = milliseconds(150);
 constexpr std::size_t kKeyedServers = 4;
 constexpr std::size_t kOnceServers = 3;
 
@@ -125,7 +128,7 @@
   backend.server = std::make_unique<platform::ServerStandin>(io_, name, keyed);
   backend.link = std::make_unique<Proxy>(io_, backend.server->endpoint());
   backend.server->address = backend.link->endpoint();
-  backend.server->work = milliseconds(15);
+  backend.server->work = service == kOnceService ? kOnceWork : kWork;
   backend.server->on_run = [this, &backend](const platform::ServerRun& run) {
     on_run(backend, run);
   };
