--- a/src/codec/store_update_json.cc
+++ b/src/codec/store_update_json.cc
@@ -1,4 +1,5 @@
 #include <boost/json.hpp>
+#include <stdexcept>
 
 #include "codec/fleet_fields_p.h"
 #include "codec/fleet_json.h"
@@ -29,6 +30,7 @@
   server.incarnation = Incarnation(number(object.at("incarnation")));
   server.draining = object.at("draining").as_bool();
   server.cold_left = milliseconds(number(object.at("cold_ms")));
+  if (server.slots == 0) throw std::runtime_error("a server without slots");
   return server;
 }
 
@@ -59,6 +61,11 @@
         {ServiceName(view_of(destination.at(0))),
          destination.at(1).to_number<std::uint32_t>()});
   }
+  // What the store would not have been read as is not taken from a daemon.
+  if (route.destinations.empty() || route.attempts == 0 ||
+      route.timeout.count() <= 0) {
+    throw std::runtime_error("a route without destination, time or attempts");
+  }
   return route;
 }
 
--- /dev/null
+++ b/tests/fleet_messages_test.cc
@@ -0,0 +1,137 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include "codec/fleet_json.h"
+
+namespace eelgrasspin::codec {
+namespace {
+
+fleet::StoreUpdate update_of_servers() {
+  fleet::StoreUpdate update;
+  update.base = Version(7);
+  update.as_of = Version(12);
+  fleet::Server server{ServerName("s1"),
+                       Endpoint("10.1.0.1:9"),
+                       ServiceName("board"),
+                       ZoneName("z"),
+                       2,
+                       Incarnation(1'768'982'855'592),
+                       true,
+                       milliseconds(1500)};
+  update.servers = {server, ServerName("s2"), server};
+  return update;
+}
+
+fleet::StoreUpdate update_of_configuration() {
+  auto configuration = std::make_shared<fleet::Configuration>();
+  configuration->version = 9;
+  configuration->services[ServiceName("board")] = {ServiceName("board"), true};
+  fleet::Route route;
+  route.name = "readings";
+  route.host = "h";
+  route.prefix = "/k/";
+  route.repeatable = true;
+  route.priority = 2;
+  route.objective = milliseconds(500);
+  route.timeout = milliseconds(1000);
+  route.attempts = 2;
+  route.destinations = {{ServiceName("board"), 3}, {ServiceName("book"), 1}};
+  configuration->routes = {route};
+  configuration->limits = {16'384, 1'000'000, seconds(3), seconds(15)};
+  fleet::StoreUpdate update;
+  update.view = fleet::StoreView::kConfiguration;
+  update.as_of = Version(12);
+  update.configuration = configuration;
+  update.configuration_revision = Version(11);
+  return update;
+}
+
+fleet::StoreUpdate read_back(const fleet::StoreUpdate& update) {
+  auto decoded = decode_datagram(encode_store_update(update));
+  EXPECT_TRUE(ok(decoded));
+  return std::get<fleet::StoreUpdate>(value(decoded));
+}
+
+TEST(FleetMessages, ServersKeepTheOrderOfTheirChanges) {
+  fleet::StoreUpdate read = read_back(update_of_servers());
+  EXPECT_EQ(read.view, fleet::StoreView::kServers);
+  EXPECT_EQ(read.base, Version(7));
+  EXPECT_EQ(read.as_of, Version(12));
+  ASSERT_EQ(read.servers.size(), 3u);
+  const auto& server = std::get<fleet::Server>(read.servers[0]);
+  EXPECT_EQ(server.name, ServerName("s1"));
+  EXPECT_EQ(server.address, Endpoint("10.1.0.1:9"));
+  EXPECT_EQ(server.incarnation, Incarnation(1'768'982'855'592));
+  EXPECT_TRUE(server.draining);
+  EXPECT_EQ(server.cold_left, milliseconds(1500));
+  EXPECT_EQ(std::get<ServerName>(read.servers[1]), ServerName("s2"));
+}
+
+TEST(FleetMessages, ConfigurationsAreReadBackWhole) {
+  fleet::StoreUpdate read = read_back(update_of_configuration());
+  ASSERT_TRUE(read.configuration);
+  EXPECT_EQ(read.configuration_revision, Version(11));
+  EXPECT_EQ(read.configuration->version, 9u);
+  ASSERT_EQ(read.configuration->routes.size(), 1u);
+  const fleet::Route& route = read.configuration->routes[0];
+  EXPECT_EQ(route.prefix, "/k/");
+  EXPECT_TRUE(route.repeatable);
+  EXPECT_EQ(route.objective, milliseconds(500));
+  EXPECT_EQ(route.timeout, seconds(1));
+  EXPECT_EQ(route.attempts, 2u);
+  ASSERT_EQ(route.destinations.size(), 2u);
+  EXPECT_EQ(route.destinations[0].weight, 3u);
+  EXPECT_TRUE(read.configuration->services.at(ServiceName("board")).keyed);
+  EXPECT_EQ(read.configuration->limits.idle_timeout, seconds(15));
+}
+
+TEST(FleetMessages, BundlesKeepAgesAndViews) {
+  fleet::HeartbeatBundle bundle;
+  bundle.relay = true;
+  fleet::Heartbeat heartbeat;
+  heartbeat.daemon = {DaemonName("d1"), Incarnation(5),         ZoneName("z"),
+                      RegionName("r"),  Endpoint("10.0.0.1:7"), 500};
+  heartbeat.age = milliseconds(120);
+  heartbeat.view =
+      fleet::Heartbeat::View{Version(3), Version(4), milliseconds(250)};
+  bundle.heartbeats = {heartbeat, heartbeat};
+  auto decoded = decode_datagram(encode_bundle(bundle));
+  ASSERT_TRUE(ok(decoded));
+  const auto& read = std::get<fleet::HeartbeatBundle>(value(decoded));
+  EXPECT_TRUE(read.relay);
+  ASSERT_EQ(read.heartbeats.size(), 2u);
+  EXPECT_EQ(read.heartbeats[1].daemon, heartbeat.daemon);
+  EXPECT_EQ(read.heartbeats[1].age, milliseconds(120));
+  ASSERT_TRUE(read.heartbeats[1].view.has_value());
+  EXPECT_EQ(read.heartbeats[1].view->servers, Version(4));
+}
+
+/// Changed messages neither crash nor bring about what the store could not.
+RC_GTEST_PROP(FleetMessagesFuzz, MutatedUpdatesAreReadOrRefused, ()) {
+  bool servers = *rc::gen::arbitrary<bool>();
+  std::string text = encode_store_update(servers ? update_of_servers()
+                                                 : update_of_configuration());
+  auto places = *rc::gen::container<std::vector<std::size_t>>(
+      rc::gen::inRange<std::size_t>(0, 100'000));
+  for (std::size_t place : places) {
+    text[place % text.size()] = static_cast<char>(place % 127);
+  }
+  auto decoded = decode_datagram(text);
+  if (!ok(decoded)) return;
+  const auto* update = std::get_if<fleet::StoreUpdate>(&value(decoded));
+  if (update == nullptr) return;
+  for (const auto& change : update->servers) {
+    const auto* server = std::get_if<fleet::Server>(&change);
+    if (server != nullptr) RC_ASSERT(server->slots > 0u);
+  }
+  if (!update->configuration) return;
+  for (const fleet::Route& route : update->configuration->routes) {
+    RC_ASSERT(!route.destinations.empty());
+    RC_ASSERT(route.attempts > 0u);
+    RC_ASSERT(route.timeout.count() > 0);
+  }
+}
+
+}  // namespace
+}  // namespace eelgrasspin::codec
