--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -170,8 +170,8 @@
 void Faults::store_fault() {
   platform::StoreStandin& store = fleet_.store();
   std::uint32_t kind = number(3);
-  static const char* const names[] = {"down", "silent", "loses answers"};
-  did(std::string("store ") + names[kind]);
+  static const char* const kNames[] = {"down", "silent", "loses answers"};
+  did(std::string("store ") + kNames[kind]);
   bool* faults[] = {&store.down, &store.silent, &store.loses_answers};
   bool* fault = faults[kind];
   *fault = true;
@@ -186,8 +186,8 @@
   static constexpr LinkFault kFaults[] = {
       LinkFault::kDelayed, LinkFault::kRefused, LinkFault::kAnswersLost,
       LinkFault::kSilent};
-  static const char* const names[] = {"delayed", "reset", "cut one way",
-                                      "silent"};
+  static const char* const kNames[] = {"delayed", "reset", "cut one way",
+                                       "silent"};
   std::uint32_t kind = number(4);
   bool to_store = number(2) == 0;
   auto daemons = static_cast<std::uint32_t>(fleet_.daemons().size());
@@ -195,7 +195,7 @@
   std::uint32_t which = number(to_store ? daemons : backends);
   Proxy& link = to_store ? *fleet_.daemons()[which].store_link
                          : *fleet_.backends()[which].link;
-  did(std::string("link ") + names[kind] + " " +
+  did(std::string("link ") + kNames[kind] + " " +
       (to_store ? fleet_.daemons()[which].name
                 : fleet_.backends()[which].server->name()));
   link.set_fault(kFaults[kind], between(20, 150));
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -35,8 +35,9 @@
   found->second.ran_at.push_back(server);
   for (const std::string& holder : holders) {
     if (holder == server) continue;
-    broken("two owners: " + id + " runs at " + server + ", " + holder +
-           " holds its key");
+    std::string what = "two owners: " + id;
+    what.append(" runs at ").append(server).append(", ").append(holder);
+    broken(what.append(" holds its key"));
   }
 }
 
