Count the wait for lapsed entries from the store's return; go on from the copy

Ruled out: a server's notice overwritten by an older answer (the entry was gone). That way was open all the same, for an answer that a relay's message overtakes. Change: the wait counts from the return, a relay's update carries its time since then; watches go on from the revision of the copy; answers and lists older than the copy change nothing.

--- a/src/codec/store_update_json.cc
+++ b/src/codec/store_update_json.cc
@@ -113,7 +113,9 @@
   json::object object = {{"view", static_cast<std::uint64_t>(update.view)},
                          {"base", update.base.value},
                          {"as_of", update.as_of.value}};
-  if (update.after_outage) object["after_outage"] = true;
+  if (update.since_outage) {
+    object["since_outage_ms"] = to_ms(*update.since_outage);
+  }
   if (update.configuration) {
     object["configuration"] = configuration_object(*update.configuration);
     object["configuration_revision"] = update.configuration_revision.value;
@@ -137,7 +139,9 @@
                     : fleet::StoreView::kServers;
   update.base = Version(number(object.at("base")));
   update.as_of = Version(number(object.at("as_of")));
-  update.after_outage = object.if_contains("after_outage") != nullptr;
+  if (const json::value* since = object.if_contains("since_outage_ms")) {
+    update.since_outage = milliseconds(number(*since));
+  }
   if (const json::value* value = object.if_contains("configuration")) {
     update.configuration = configuration_of(value->as_object());
     update.configuration_revision =
--- a/src/fleet/effect.h
+++ b/src/fleet/effect.h
@@ -56,10 +56,14 @@
 struct WatchStore {
   bool on = true;
   Duration wait{0};  ///< Longest time until the store answers.
+  /// The copies are complete up to these revisions.
+  Version configuration_as_of;
+  Version servers_as_of;
 };
 /// Asks the store once for the changes of one part.
 struct CatchUp {
   StoreView view = StoreView::kServers;
+  Version as_of;  ///< The copy is complete up to it.
 };
 /// Writes the map if the store still has it at `expected` (0: absent).
 struct WriteMap {
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -15,6 +15,7 @@
 /// Every readable entry of the registry.
 struct ServersListed {
   std::vector<Server> servers;
+  Version as_of;  ///< Revision of the store; 0 if it is not known.
 };
 struct ServerSeen {
   Server server;
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -192,8 +192,9 @@
   Version configuration_revision;
   /// Entries written, and names of entries removed, in the order of changes.
   std::vector<std::variant<Server, ServerName>> servers;
-  /// The store has just been out of reach: entries may have lapsed in that.
-  bool after_outage = false;
+  /// Since the store was back in reach of the sender, if that is a moment ago:
+  /// entries may have lapsed in the outage.
+  std::optional<Duration> since_outage;
 };
 
 /// Heartbeats of one availability zone's daemons, passed on to another zone.
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -67,7 +67,10 @@
                    Effects& effects) {
   if (entry.removed || entry.returns_until) return;
   if (near_outage(state, now) && !entry.leaving) {
-    entry.returns_until = now + config::kRegistryReturn;
+    // Counted from the store's return, however late it was listed.
+    bool in_outage = state.store_failed > state.store_answered;
+    entry.returns_until =
+        (in_outage ? now : state.outage_ended) + config::kRegistryReturn;
     return;
   }
   if (!entry.leaving) {
@@ -92,6 +95,12 @@
 
 void on_servers_listed(State& state, const ServersListed& listed, TimePoint now,
                        Effects& effects) {
+  // A list that was answered before changes which are known by now.
+  auto view = state.views.find(StoreView::kServers);
+  if (listed.as_of.value > 0 && view != state.views.end() &&
+      listed.as_of < view->second.as_of) {
+    return;
+  }
   std::set<ServerName> present;
   for (const Server& server : listed.servers) {
     present.insert(server.name);
--- a/src/fleet/store_view.cc
+++ b/src/fleet/store_view.cc
@@ -41,7 +41,10 @@
 
 void apply_changes(State& state, const StoreUpdate& update, TimePoint now,
                    Effects& effects) {
-  if (update.after_outage) state.outage_ended = now;
+  if (update.since_outage) {
+    state.outage_ended =
+        std::max(state.outage_ended, now - *update.since_outage);
+  }
   if (update.configuration) {
     adopt_configuration(state,
                         {update.configuration, update.configuration_revision},
@@ -74,7 +77,7 @@
       view.behind_since = now;
     } else if (now - *view.behind_since >= config::kViewBehind) {
       view.behind_since = now;
-      effects.emplace_back(CatchUp{kind});
+      effects.emplace_back(CatchUp{kind, view.as_of});
       note(effects, "store_view_behind",
            {{"view", text(static_cast<std::uint64_t>(kind))},
             {"as_of", text(view.as_of.value)},
@@ -126,8 +129,12 @@
   StoreUpdate update = changed.update;
   ViewState& view = state.views[update.view];
   update.base = view.changed;
-  update.after_outage = near_outage(state, now);
+  if (near_outage(state, now)) {
+    update.since_outage = now - std::min(now, state.outage_ended);
+  }
   view.answered = now;
+  // Answered before changes that the relay has told since.
+  if (update.as_of < view.as_of) return;
   view.as_of = std::max(view.as_of, update.as_of);
   if (is_empty(update)) return;
   view.changed = std::max(view.changed, update.as_of);
@@ -137,8 +144,6 @@
       effects.emplace_back(SendStoreUpdate{update, std::move(to)});
     }
   }
-  // The outage is this daemon's own and known already.
-  update.after_outage = false;
   apply_changes(state, update, now, effects);
 }
 
@@ -168,7 +173,9 @@
     }
     state.watching = watch;
     state.watch_wait = wait;
-    effects.emplace_back(WatchStore{watch, wait});
+    effects.emplace_back(
+        WatchStore{watch, wait, state.views[StoreView::kConfiguration].as_of,
+                   state.views[StoreView::kServers].as_of});
   }
   if (watch) return;
   if (const PeerState* peer = followed(state, now)) {
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -166,8 +166,8 @@
             std::string text = codec::encode_store_update(e.update);
             if (text.size() <= kMaxDatagram) send_datagrams(text, e.to);
           },
-          [this](const fleet::WatchStore& e) { feed_.set_watch(e.on, e.wait); },
-          [this](const fleet::CatchUp& e) { feed_.catch_up(e.view); },
+          [this](const fleet::WatchStore& e) { feed_.set_watch(e); },
+          [this](const fleet::CatchUp& e) { feed_.catch_up(e); },
           [this](const fleet::WriteMap& e) { feed_.write_map(e); },
           [this](const fleet::ReadMap& e) { feed_.read_map(e.service); },
           [this](const fleet::GrantKeys& e) {
--- a/src/io/store_feed.cc
+++ b/src/io/store_feed.cc
@@ -126,6 +126,7 @@
   state.listed.clear();
   if (name == ObjectKind::kServers) {
     fleet::ServersListed servers;
+    servers.as_of = state.as_of;
     for (const StoredObject& object : listed) {
       if (const auto* server = std::get_if<fleet::Server>(&object.value)) {
         servers.servers.push_back(*server);
@@ -154,20 +155,26 @@
   watch(name, state.failures > 0 ? kProbeWait : watch_wait_);
 }
 
-void StoreFeed::set_watch(bool on, Duration wait) {
-  watching_ = on;
-  watch_wait_ = wait;
-  if (!on) return;
+void StoreFeed::set_watch(const fleet::WatchStore& watch) {
+  watching_ = watch.on;
+  watch_wait_ = watch.wait;
+  if (!watching_) return;
+  Version& configuration = kind(ObjectKind::kConfiguration).as_of;
+  configuration = std::max(configuration, watch.configuration_as_of);
+  Version& servers = kind(ObjectKind::kServers).as_of;
+  servers = std::max(servers, watch.servers_as_of);
   for (ObjectKind name : {ObjectKind::kConfiguration, ObjectKind::kServers}) {
     if (!kind(name).busy) go_on(name);
   }
 }
 
-void StoreFeed::catch_up(fleet::StoreView view) {
-  ObjectKind name = view == fleet::StoreView::kConfiguration
+void StoreFeed::catch_up(const fleet::CatchUp& request) {
+  ObjectKind name = request.view == fleet::StoreView::kConfiguration
                         ? ObjectKind::kConfiguration
                         : ObjectKind::kServers;
-  if (!kind(name).busy) watch(name, kProbeWait);
+  if (kind(name).busy) return;
+  kind(name).as_of = std::max(kind(name).as_of, request.as_of);
+  watch(name, kProbeWait);
 }
 
 void StoreFeed::watch(ObjectKind name, Duration wait) {
--- a/src/io/store_feed.h
+++ b/src/io/store_feed.h
@@ -25,10 +25,10 @@
             const fleet::Settings& settings, Sink sink);
 
   void start();
-  /// Goes on or stops watching; a watch waits for at most `wait`.
-  void set_watch(bool on, Duration wait);
+  /// Goes on or stops watching, from where this daemon's copies have got to.
+  void set_watch(const fleet::WatchStore& watch);
   /// Asks once for the changes of one part.
-  void catch_up(fleet::StoreView view);
+  void catch_up(const fleet::CatchUp& request);
   void write_map(const fleet::WriteMap& write);
   void read_map(const ServiceName& service);
 
