Bound the memory of all answers that a daemon is reading

Cause: each connection to a backend server may read a body of 16 MB. Servers that send bytes without end on ten connections at once exceed the 160 MB of a small VM. Heads, chunk sizes and trailers were bounded already. Change: the connections of a pool share a limit of 32 MB; beyond it, a connection whose body exceeds 64 KB fails. Measured: backend_pool_test, 13 forms of endless bytes one by one, and 24 endless bodies at once beside short answers: all fail as no answer, the shared limit holds, the short answers arrive.

--- a/include/eelgrasspin/config.h
+++ b/include/eelgrasspin/config.h
@@ -165,6 +165,10 @@
 
 // Connections to backend servers.
 inline constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+/// Limit of all answers together that a pool of connections is reading. Beyond
+/// it, answers larger than kMinAnswerBytes fail.
+inline constexpr std::size_t kMaxPoolAnswerBytes = 32 * 1024 * 1024;
+inline constexpr std::size_t kMinAnswerBytes = 64 * 1024;
 /// A request that is not repeatable reuses an idle connection only if the
 /// connection's last answer is at most this old.
 inline constexpr Duration kMaxNonRepeatableReuseAge = milliseconds(100);
--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -44,6 +44,11 @@
 
 }  // namespace
 
+BackendPool::BackendPool(boost::asio::io_context& io)
+    : io_(io),
+      memory_(std::make_shared<ResponseMemory>(
+          ResponseMemory{config::kMaxPoolAnswerBytes, 0})) {}
+
 BackendPool::~BackendPool() {
   for (const auto& [number, busy] : busy_) busy.connection->close();
   for (const auto& [address, idle_connections] : idle_) {
@@ -82,7 +87,7 @@
     idle.connection->close();
   }
   ++connections_made_;
-  return {make_http_connection(io_, address), Duration(0)};
+  return {make_http_connection(io_, address, memory_), Duration(0)};
 }
 
 std::uint64_t BackendPool::start(Call call, HttpCallback done) {
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -24,7 +24,7 @@
     HttpResponseCheck matches_request;
   };
 
-  explicit BackendPool(boost::asio::io_context& io) : io_(io) {}
+  explicit BackendPool(boost::asio::io_context& io);
   ~BackendPool();
   BackendPool(const BackendPool&) = delete;
   BackendPool& operator=(const BackendPool&) = delete;
@@ -36,6 +36,8 @@
   /// Closes idle connections that their servers are about to close.
   void close_expired();
   std::uint64_t connections_made() const { return connections_made_; }
+  /// Bytes of the response bodies that are being read.
+  std::size_t response_bytes() const { return memory_->used; }
 
  private:
   struct Idle {
@@ -55,6 +57,7 @@
   void record_stale_connection(const Busy& busy, const HttpResult& result);
 
   boost::asio::io_context& io_;
+  std::shared_ptr<ResponseMemory> memory_;
   std::map<Endpoint, std::vector<Idle>> idle_;
   std::map<std::uint64_t, Busy> busy_;
   /// Shortest recent idle time after which a server had dropped a connection
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -43,11 +43,16 @@
 class Connection : public HttpConnection,
                    public std::enable_shared_from_this<Connection> {
  public:
-  Connection(asio::io_context& io, const Endpoint& endpoint)
+  Connection(asio::io_context& io, const Endpoint& endpoint,
+             std::shared_ptr<ResponseMemory> memory)
       : socket_(io),
         timer_(io),
         endpoint_(endpoint),
-        buffer_(kMaxBufferBytes) {}
+        buffer_(kMaxBufferBytes),
+        memory_(std::move(memory)) {}
+  ~Connection() override { set_memory_used(0); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
 
   void exchange(const HttpRequest& request, Duration timeout,
                 HttpCallback done) override {
@@ -82,8 +87,20 @@
   static constexpr std::size_t kMaxBufferBytes =
       config::kMaxHeaderBytes + kReadChunkBytes;
 
+  void set_memory_used(std::size_t bytes) {
+    if (!memory_) return;
+    memory_->used = memory_->used - memory_used_ + bytes;
+    memory_used_ = bytes;
+  }
+
+  bool exceeds_memory() const {
+    return memory_ && memory_->used > memory_->limit &&
+           memory_used_ > config::kMinAnswerBytes;
+  }
+
   void close_socket() {
     phase_ = Phase::kClosed;
+    set_memory_used(0);
     error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
@@ -157,6 +174,7 @@
   }
 
   void new_parser() {
+    set_memory_used(0);
     parser_.emplace();
     parser_->header_limit(config::kMaxHeaderBytes);
     parser_->body_limit(config::kMaxAnswerBytes);
@@ -197,6 +215,10 @@
     buffer_.consume(parser_->put(buffer_.data(), failed));
     if (failed == http::error::need_more) failed = {};
     if (failed) return fail(HttpFailureKind::kTruncated, failed.message());
+    set_memory_used(parser_->get().body().size());
+    if (exceeds_memory()) {
+      return fail(HttpFailureKind::kTruncated, "responses exceed the memory");
+    }
     if (!parser_->is_done()) {
       if (buffer_.size() >= kMaxBufferBytes) {
         return fail(HttpFailureKind::kTruncated, "response header too large");
@@ -223,6 +245,7 @@
 
   void finish() {
     auto message = parser_->release();
+    set_memory_used(0);
     HttpResponse response{
         static_cast<int>(message.result_int()), {}, {}, false};
     for (const auto& field : message.base()) {
@@ -268,6 +291,8 @@
   asio::steady_timer timer_;
   Endpoint endpoint_;
   beast::flat_buffer buffer_;
+  std::shared_ptr<ResponseMemory> memory_;
+  std::size_t memory_used_ = 0;  ///< Of `memory_`, by this connection.
   std::optional<Request> message_;
   std::optional<http::response_parser<http::string_body>> parser_;
   HttpCallback done_;
@@ -291,9 +316,10 @@
       std::chrono::steady_clock::now().time_since_epoch()));
 }
 
-std::shared_ptr<HttpConnection> make_http_connection(asio::io_context& io,
-                                                     const Endpoint& endpoint) {
-  return std::make_shared<Connection>(io, endpoint);
+std::shared_ptr<HttpConnection> make_http_connection(
+    asio::io_context& io, const Endpoint& endpoint,
+    std::shared_ptr<ResponseMemory> memory) {
+  return std::make_shared<Connection>(io, endpoint, std::move(memory));
 }
 
 HttpClient::HttpClient(asio::io_context& io, Endpoint endpoint)
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -65,8 +65,17 @@
   virtual TimePoint last_response_time() const = 0;
 };
 
+/// Memory for the response bodies that several connections are reading.
+struct ResponseMemory {
+  std::size_t limit = 0;
+  std::size_t used = 0;
+};
+
+/// `memory` bounds the response bodies of all connections that share it; null:
+/// each has the limit of its own only.
 std::shared_ptr<HttpConnection> make_http_connection(
-    boost::asio::io_context& io, const Endpoint& endpoint);
+    boost::asio::io_context& io, const Endpoint& endpoint,
+    std::shared_ptr<ResponseMemory> memory = nullptr);
 
 /// Current time of the steady clock.
 TimePoint steady_now();
--- a/tests/backend_pool_test.cc
+++ b/tests/backend_pool_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <list>
+#include <memory>
 #include <optional>
 
 #include "tests/io_test_util.h"
@@ -74,6 +75,120 @@
   std::list<Peer> peers_;
 };
 
+/// A server that answers each request with bytes without end, or with a short
+/// answer if the path says so.
+class EndlessServer {
+ public:
+  EndlessServer(boost::asio::io_context& io, std::string head, std::string part)
+      : acceptor_(io,
+                  tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
+        head_(std::move(head)) {
+    while (part_.size() < kPartBytes) part_ += part;
+    accept();
+  }
+  Endpoint endpoint() const {
+    return Endpoint("127.0.0.1:" +
+                    std::to_string(acceptor_.local_endpoint().port()));
+  }
+
+ private:
+  static constexpr std::size_t kPartBytes = 64 * 1024;
+  struct Peer {
+    explicit Peer(tcp::socket accepted) : socket(std::move(accepted)) {}
+    tcp::socket socket;
+    std::array<char, 4096> buffer{};
+  };
+
+  void accept() {
+    acceptor_.async_accept(
+        [this](boost::system::error_code failed, tcp::socket socket) {
+          if (failed) return;
+          auto peer = std::make_shared<Peer>(std::move(socket));
+          peer->socket.async_read_some(
+              boost::asio::buffer(peer->buffer),
+              [this, peer](boost::system::error_code ended, std::size_t count) {
+                if (ended) return;
+                std::string_view request(peer->buffer.data(), count);
+                if (request.starts_with("GET /short")) {
+                  boost::asio::write(peer->socket,
+                                     boost::asio::buffer(std::string(
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 2"
+                                         "\r\n\r\nok")));
+                  return;
+                }
+                send(peer, head_);
+              });
+          accept();
+        });
+  }
+  void send(const std::shared_ptr<Peer>& peer, const std::string& text) {
+    boost::asio::async_write(
+        peer->socket, boost::asio::buffer(text),
+        [this, peer](boost::system::error_code failed, std::size_t) {
+          if (!failed) send(peer, part_);
+        });
+  }
+
+  tcp::acceptor acceptor_;
+  std::string head_;
+  std::string part_;
+};
+
+/// Calls that run at the same time, and what became of them.
+struct ParallelCalls {
+  ParallelCalls(boost::asio::io_context& context, BackendPool& calls)
+      : io(context), pool(calls) {}
+  void start(const Endpoint& to, const char* path, Duration timeout) {
+    ++started;
+    pool.start(
+        {{"GET", path, {{"Host", "h"}}, "", {}}, to, timeout, true, nullptr},
+        [this](const HttpResult& result) {
+          ++ended;
+          if (std::holds_alternative<HttpResponse>(result)) ++answered;
+        });
+  }
+  bool run_until_ended() {
+    return run_until(io, [&] {
+      most_bytes = std::max(most_bytes, pool.response_bytes());
+      return ended == started;
+    });
+  }
+  boost::asio::io_context& io;
+  BackendPool& pool;
+  std::size_t started = 0;
+  std::size_t ended = 0;
+  std::size_t answered = 0;
+  std::size_t most_bytes = 0;
+};
+
+struct EndlessCase {
+  const char* name;
+  const char* head;
+  const char* part;
+};
+
+constexpr EndlessCase kEndlessCases[] = {
+    {"status line", "HTTP/1.1 200 ", "x"},
+    {"field name", "HTTP/1.1 200 OK\r\n", "x"},
+    {"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+    {"no protocol", "", "\x01\x02"},
+    {"blank lines", "", "\r\n"},
+    {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"body without a length", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+    {"chunk size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     "0"},
+    {"chunk extension",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+    {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     "1\r\nx\r\n"},
+    {"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+     "A: b\r\n"},
+    {"huge length",
+     "HTTP/1.1 200 OK\r\nContent-Length: 999999999999999\r\n\r\n", "x"},
+    {"overflowing length",
+     "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999\r\n\r\n", "x"},
+};
+
 class BackendPoolTest : public ::testing::Test {
  protected:
   BackendPoolTest() : server_(io_), pool_(io_) {}
@@ -133,5 +248,37 @@
   EXPECT_EQ(pool_.connections_made(), 3u);
 }
 
+/// Bytes without end are no answer, whichever part of one they pretend to be.
+TEST_F(BackendPoolTest, EndlessAnswersFail) {
+  for (const EndlessCase& endless : kEndlessCases) {
+    EndlessServer server(io_, endless.head, endless.part);
+    ParallelCalls calls(io_, pool_);
+    calls.start(server.endpoint(), "/", milliseconds(1500));
+    EXPECT_TRUE(calls.run_until_ended()) << endless.name;
+    EXPECT_EQ(calls.answered, 0u) << endless.name;
+    EXPECT_LE(calls.most_bytes, config::kMaxAnswerBytes) << endless.name;
+    EXPECT_EQ(pool_.response_bytes(), 0u) << endless.name;
+  }
+}
+
+/// Many at once share one limit, and do not keep short answers out.
+TEST_F(BackendPoolTest, EndlessAnswersTogetherStayWithinTheLimit) {
+  EndlessServer server(io_, "HTTP/1.1 200 OK\r\n\r\n", "x");
+  ParallelCalls calls(io_, pool_);
+  constexpr std::size_t kEndless = 24;
+  for (std::size_t i = 0; i < kEndless; ++i)
+    calls.start(server.endpoint(), "/", seconds(5));
+  run_for(io_, milliseconds(300));
+  ParallelCalls short_calls(io_, pool_);
+  for (int i = 0; i < 5; ++i)
+    short_calls.start(server.endpoint(), "/short", seconds(5));
+  EXPECT_TRUE(short_calls.run_until_ended());
+  EXPECT_EQ(short_calls.answered, 5u);
+  EXPECT_TRUE(calls.run_until_ended());
+  EXPECT_EQ(calls.answered, 0u);
+  EXPECT_LE(calls.most_bytes, config::kMaxPoolAnswerBytes +
+                                  kEndless * 2 * config::kMinAnswerBytes);
+}
+
 }  // namespace
 }  // namespace eelgrasspin::io
