--- a/src/io/store_feed.cc
+++ b/src/io/store_feed.cc
@@ -115,7 +115,10 @@
   // The watch starts at the revision of the first page, so it also returns
   // changes made between two pages.
   if (state.listed.empty()) state.as_of = page.as_of;
-  std::string last = page.objects.empty() ? "" : page.objects.back().name;
+  std::string last;  // An unreadable object may have no name.
+  for (const StoredObject& object : page.objects) {
+    if (!object.name.empty()) last = object.name;
+  }
   for (StoredObject& object : page.objects) {
     state.listed.push_back(std::move(object));
   }
@@ -238,6 +241,9 @@
   for (const StoredObject& object : page.objects) {
     if (const auto* unreadable = std::get_if<UnreadableObject>(&object.value)) {
       log_unreadable(object, unreadable->why);
+      // An entry that cannot be read names no server to use, as in a list.
+      if (kind == ObjectKind::kServers && !object.name.empty())
+        update.servers.emplace_back(ServerName(object.name));
     } else if (const auto* read =
                    std::get_if<fleet::Configuration>(&object.value)) {
       update.configuration = std::make_shared<fleet::Configuration>(*read);
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -46,6 +46,13 @@
            const std::string& spec) {
     store(kind, name, json::parse(spec));
   }
+  /// Stores a spec that the stand-in's own JSON library would not parse.
+  void put_text(const std::string& kind, const std::string& name,
+                std::string spec) {
+    std::string mark = "raw:" + kind + "/" + name;
+    raw_specs_["\"" + mark + "\""] = std::move(spec);
+    store(kind, name, json::string(mark));
+  }
   void remove(const std::string& kind, const std::string& name) {
     auto& objects = kinds_[kind];
     auto found = objects.find(name);
@@ -87,11 +94,17 @@
     answer_watches();
   }
 
-  static void answer(io::HttpExchange& exchange, int status,
-                     const json::value& body) {
-    exchange.answer({status,
-                     {{"Content-Type", "application/json"}},
-                     json::serialize(body)});
+  void answer(io::HttpExchange& exchange, int status,
+              const json::value& body) const {
+    std::string text = json::serialize(body);
+    for (const auto& [mark, spec] : raw_specs_) {
+      for (std::size_t at = text.find(mark); at != std::string::npos;
+           at = text.find(mark, at + spec.size())) {
+        text.replace(at, mark.size(), spec);
+      }
+    }
+    exchange.answer(
+        {status, {{"Content-Type", "application/json"}}, std::move(text)});
   }
 
   void handle_request(const std::shared_ptr<io::HttpExchange>& exchange) {
@@ -213,6 +226,7 @@
 
   boost::asio::io_context& io_;
   std::map<std::string, std::map<std::string, json::object>> kinds_;
+  std::map<std::string, std::string> raw_specs_;  ///< By their placeholder.
   std::vector<Change> history_;
   std::vector<PendingWatch> pending_watches_;
   std::vector<std::shared_ptr<io::HttpExchange>> unanswered_;
