Go on after an unexpected error in a handler

Cause: an exception in a handler left io_context::run and ended the process; one in the handler of a datagram also ended the reception of datagrams. Change: events, effects, callers' requests, answers and datagrams are handled under a guard that logs unexpected_error with its source; a request that cannot be read is answered 500, an answer that cannot be read counts as lost. Conclusion: could happen; fixed.

--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -8,6 +8,7 @@
 
 #include "codec/fleet_json.h"
 #include "eelgrasspin/result.h"
+#include "fleet/registry.h"
 #include "io/endpoint.h"
 #include "io/log.h"
 #include "io/metrics.h"
@@ -130,9 +131,25 @@
   tick();
 }
 
+template <class Handler>
+bool FleetShell::guard(std::string_view source, Handler handler) {
+  try {
+    handler();
+    return true;
+  } catch (const std::exception& failure) {
+    on_log_event(fleet::LogEvent{
+        "unexpected_error",
+        {{"source", std::string(source)}, {"why", failure.what()}}});
+    return false;
+  }
+}
+
 void FleetShell::apply(const fleet::Event& event) {
-  fleet::Effects effects = fleet::reduce(state_, event, boottime_now());
-  for (const fleet::Effect& effect : effects) execute(effect);
+  fleet::Effects effects;
+  guard("event",
+        [&] { effects = fleet::reduce(state_, event, boottime_now()); });
+  for (const fleet::Effect& effect : effects)
+    guard("effect", [&] { execute(effect); });
 }
 
 void FleetShell::execute(const fleet::Effect& effect) {
@@ -191,8 +208,15 @@
 
 void FleetShell::on_caller_request(
     const std::shared_ptr<HttpExchange>& exchange) {
-  Result<CallerRequestHead> read =
-      format_.read_caller_request(exchange->request());
+  Result<CallerRequestHead> read = CallerRequestHead();
+  bool handled = guard("caller_request", [&] {
+    read = format_.read_caller_request(exchange->request());
+  });
+  if (!handled) {
+    constexpr int kInternalError = 500;
+    return exchange->answer(format_.make_router_response(
+        {}, kInternalError, Duration(0), "unexpected_error"));
+  }
   if (!ok(read)) {
     constexpr int kBadRequest = 400;
     on_log_event(fleet::LogEvent{"request_invalid",
@@ -237,7 +261,10 @@
   attempt_calls_.erase(id);
   fleet::AttemptEnded ended;
   if (auto* response = std::get_if<HttpResponse>(&result)) {
-    ended = format_.classify(std::move(*response));
+    // An answer that cannot be read may come from a request that has run.
+    ended.why = "unreadable answer";
+    guard("server_answer",
+          [&] { ended = format_.classify(std::move(*response)); });
   } else {
     const auto& failure = std::get<HttpFailure>(result);
     ended.why = failure.why;
@@ -288,7 +315,7 @@
         if (failed == asio::error::operation_aborted) {
           return;
         }
-        if (!failed) on_datagram(size);
+        if (!failed) guard("datagram", [&] { on_datagram(size); });
         receive_datagram();
       });
 }
@@ -443,6 +470,7 @@
   settings_.seeds = settings.seeds;
   state_.settings.seeds = settings.seeds;
   state_.settings.regions = settings.regions;
+  fleet::index_servers(state_);
   log_line(LogLevel::kInfo,
            {{"event", "reload"},
             {"seeds", std::to_string(settings.seeds.size())},
--- a/src/io/fleet_shell.h
+++ b/src/io/fleet_shell.h
@@ -57,6 +57,9 @@
 
   void apply(const fleet::Event& event);
   void execute(const fleet::Effect& effect);
+  /// Runs a handler. An exception of it is logged, and the process goes on.
+  template <class Handler>
+  bool guard(std::string_view source, Handler handler);
   void on_caller_request(const std::shared_ptr<HttpExchange>& exchange);
   void send_attempt(const fleet::SendAttempt& attempt);
   void end_attempt(AttemptId id, HttpResult result);
