Heed servers that announce that they are leaving or ask for quiet

Cause: a server's Server-Leaving header and the Retry-After of its 503 were not read; it left only through the registry. Change: server_notices: an incarnation that has announced its leaving is sent no further request, whatever the registry says; heartbeats report it for 2 s, so that the coordinator moves its keys. After a 503 with Retry-After this daemon sends the server nothing for that time (10 minutes at most); callers are refused at once with the time left if all servers ask for it. Neither is taken from a 421, which may come from another server.

--- a/src/codec/fleet_json.cc
+++ b/src/codec/fleet_json.cc
@@ -1,5 +1,6 @@
 #include "codec/fleet_json.h"
 
+#include <array>
 #include <boost/json.hpp>
 
 #include "codec/fleet_fields_p.h"
@@ -16,7 +17,10 @@
 Result<T> parse_object(std::string_view text, std::string_view what,
                        Read read) {
   try {
-    return read(json::parse(text).as_object());
+    // Most messages fit the buffer, so that parsing them allocates nothing.
+    std::array<unsigned char, 16 * 1024> buffer;
+    json::monotonic_resource memory(buffer.data(), buffer.size());
+    return read(json::parse(text, &memory).as_object());
   } catch (const std::exception& failure) {
     return Error{ErrorCode::kInvalid,
                  std::string(what) + ": " + failure.what()};
@@ -95,6 +99,23 @@
   return report;
 }
 
+std::vector<fleet::Heartbeat::Load> loads_of(const json::value& value) {
+  std::vector<fleet::Heartbeat::Load> loads;
+  for (const json::value& entry : value.as_array()) {
+    const json::array& parts = entry.as_array();
+    loads.push_back({ServerName(view_of(parts.at(0))),
+                     parts.at(1).to_number<std::uint32_t>()});
+  }
+  return loads;
+}
+
+json::array loads_array(const std::vector<fleet::Heartbeat::Load>& list) {
+  json::array loads;
+  for (const auto& load : list)
+    loads.push_back(json::array{load.server.str(), load.in_flight});
+  return loads;
+}
+
 fleet::Heartbeat heartbeat_of(const json::object& object) {
   fleet::Heartbeat heartbeat;
   if (const json::value* daemon = object.if_contains("daemon")) {
@@ -119,11 +140,7 @@
         {ServiceName(view_of(parts.at(0))), TermEpoch(number(parts.at(1))),
          milliseconds(number(parts.at(2))), Version(number(parts.at(3)))});
   }
-  for (const json::value& value : object.at("loads").as_array()) {
-    const json::array& parts = value.as_array();
-    heartbeat.loads.push_back({ServerName(view_of(parts.at(0))),
-                               parts.at(1).to_number<std::uint32_t>()});
-  }
+  heartbeat.loads = loads_of(object.at("loads"));
   if (const json::value* view = object.if_contains("view")) {
     const json::array& parts = view->as_array();
     heartbeat.view = fleet::Heartbeat::View{Version(number(parts.at(0))),
@@ -135,6 +152,10 @@
       heartbeat.key_load_reports.push_back(key_load_report_of(value));
     }
   }
+  if (const json::value* leaving = object.if_contains("leaving")) {
+    for (const json::value& value : leaving->as_array())
+      heartbeat.leaving_servers.push_back(server_incarnation_of(value));
+  }
   if (const json::value* strikes = object.if_contains("strikes")) {
     for (const json::value& value : strikes->as_array()) {
       const json::array& parts = value.as_array();
@@ -184,6 +205,7 @@
       Incarnation(number(object.at("coordinator_incarnation")));
   change.term = TermEpoch(number(object.at("term")));
   change.last_epoch = Epoch(number(object.at("next_epoch")));
+  change.forward_within_zone = object.if_contains("relay") != nullptr;
   for (const json::value& value : object.at("ranges").as_array()) {
     change.ranges.push_back(range_of(value));
   }
@@ -230,13 +252,9 @@
                                 to_ms(term.coordinator_heartbeat_age),
                                 term.revision.value});
   }
-  json::array loads;
-  for (const auto& load : heartbeat.loads) {
-    loads.push_back(json::array{load.server.str(), load.in_flight});
-  }
   json::object object = {{"seq", heartbeat.sequence},
                          {"terms", std::move(terms)},
-                         {"loads", std::move(loads)}};
+                         {"loads", loads_array(heartbeat.loads)}};
   if (heartbeat.has_full_record) {
     object["daemon"] = daemon_object(heartbeat.daemon);
   } else {
@@ -250,6 +268,12 @@
   }
   if (!heartbeat.key_load_reports.empty())
     object["heats"] = key_load_reports_array(heartbeat);
+  if (!heartbeat.leaving_servers.empty()) {
+    json::array leaving;
+    for (const fleet::ServerIncarnation& server : heartbeat.leaving_servers)
+      leaving.push_back(server_incarnation_array(server));
+    object["leaving"] = std::move(leaving);
+  }
   if (!heartbeat.strikes.empty()) {
     json::array strikes;
     for (const fleet::Strike& strike : heartbeat.strikes) {
@@ -270,6 +294,8 @@
 fleet::HeartbeatBatch heartbeat_batch_of(const json::object& object) {
   fleet::HeartbeatBatch batch;
   batch.forward_within_zone = object.if_contains("relay") != nullptr;
+  batch.zone = ZoneName(text_of(object, "zone"));
+  batch.loads = loads_of(object.at("loads"));
   for (const json::value& heartbeat : object.at("heartbeats").as_array()) {
     batch.heartbeats.push_back(heartbeat_of(heartbeat.as_object()));
   }
@@ -287,13 +313,15 @@
   for (const fleet::Heartbeat& heartbeat : batch.heartbeats) {
     heartbeats.push_back(heartbeat_object(heartbeat));
   }
-  json::object object = {{"heartbeats", std::move(heartbeats)}};
+  json::object object = {{"heartbeats", std::move(heartbeats)},
+                         {"zone", batch.zone.str()},
+                         {"loads", loads_array(batch.loads)}};
   if (batch.forward_within_zone) object["relay"] = true;
   return json::serialize(object);
 }
 
 std::string encode_map_change(const fleet::MapChange& change) {
-  return json::serialize(json::object{
+  json::object object = {
       {"map", change.service.str()},
       {"base", change.base.value},
       {"revision", change.revision.value},
@@ -301,7 +329,9 @@
       {"coordinator_incarnation", change.coordinator_incarnation.value},
       {"term", change.term.value},
       {"next_epoch", change.last_epoch.value},
-      {"ranges", ranges_array(change.ranges)}});
+      {"ranges", ranges_array(change.ranges)}};
+  if (change.forward_within_zone) object["relay"] = true;
+  return json::serialize(object);
 }
 
 Result<DaemonMessage> decode_datagram(std::string_view text) {
--- a/src/fleet/answers.cc
+++ b/src/fleet/answers.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "fleet/duration.h"
 #include "fleet/log_event.h"
 #include "fleet/registry.h"
 #include "fleet/requests_p.h"
@@ -30,7 +31,7 @@
        {"owner", range == nullptr ? "-" : range->owner.name.str()},
        {"owner_load", owner == state.servers.end()
                           ? "-"
-                          : std::to_string(load_at(state, owner->second, now))},
+                          : std::to_string(load_at(state, owner->second))},
        {"arriving",
         range != nullptr && !range->previous_owners.empty() ? "yes" : "no"},
        {"map_revision", keyed ? text(map->second.revision.value) : "-"},
@@ -86,8 +87,13 @@
   std::vector<Candidate> candidates =
       all_candidates(state, request.service, now);
   log_refusal(state, request, reason, candidates, now, effects);
-  Duration retry_delay =
-      retry_after(candidates, std::max(Duration(0), time_left(request, now)));
+  Duration left = std::max(Duration(0), time_left(request, now));
+  Duration retry_delay = retry_after(candidates, left);
+  if (auto end = quiet_end(state, request, now);
+      end && (request.key || candidates.empty())) {
+    retry_delay = std::min(scaled(left, config::kMaxRetryAfterShare),
+                           std::max(retry_delay, *end - now));
+  }
   answer(state, request, kUnavailable, retry_delay, reason, now, effects);
 }
 
--- a/src/fleet/attempts.cc
+++ b/src/fleet/attempts.cc
@@ -6,6 +6,7 @@
 #include "fleet/registry.h"
 #include "fleet/requests.h"
 #include "fleet/requests_p.h"
+#include "fleet/server_notices.h"
 
 namespace eelgrasspin::fleet {
 namespace {
@@ -142,6 +143,8 @@
   if (found == state.requests.end()) return;
   RequestState& request = found->second;
   end_attempt(state, request);
+  on_server_notice(state, {request.server, request.server_incarnation},
+                   ended.notice, now, effects);
   if (ended.result != AttemptResult::kAnswered) {
     log_event(effects, "attempt_failed",
               {{"id", request.caller_request_id},
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -16,6 +16,16 @@
 /// Minimum time between two heartbeats to daemons of the own zone while the
 /// load changes.
 inline constexpr Duration kLoadChangeHeartbeatInterval = milliseconds(60);
+/// Lower bound of that time for each daemon of the zone.
+inline constexpr Duration kLoadChangeIntervalPerDaemon = milliseconds(6);
+/// Interval at which the loads of daemons that have timed out are dropped.
+inline constexpr Duration kLoadExpiryInterval = milliseconds(100);
+/// Interval of heartbeat batches that list all daemons of the zone; the others
+/// hold the relay's heartbeat and the loads of the zone.
+inline constexpr Duration kZoneMembersInterval = milliseconds(500);
+/// Interval at which the relay of the own zone is determined anew, unless the
+/// present one is lost.
+inline constexpr Duration kRelayCheckInterval = milliseconds(100);
 /// Interval of heartbeats to daemons of the own zone if the load does not
 /// change, and of heartbeats of a coordinator to its whole region.
 inline constexpr Duration kRegularHeartbeatInterval = milliseconds(200);
@@ -212,6 +222,13 @@
 /// dropped first.
 inline constexpr std::size_t kMaxInterruptedRequests = 256;
 
+// What servers say about themselves.
+/// Longest time for which a server that asks for quiet is sent nothing; longer
+/// ones are taken for mistakes.
+inline constexpr Duration kMaxQuietTime = seconds(600);
+/// Time for which heartbeats repeat that a server is leaving.
+inline constexpr Duration kLeavingReportTime = seconds(2);
+
 // Registry of backend servers.
 /// Time after an outage of the store in which entries that expired during it
 /// may return before their servers count as gone: the platform states about two
--- a/src/fleet/dispatch.cc
+++ b/src/fleet/dispatch.cc
@@ -7,6 +7,7 @@
 #include "fleet/quarantine.h"
 #include "fleet/registry.h"
 #include "fleet/requests_p.h"
+#include "fleet/server_notices.h"
 
 namespace eelgrasspin::fleet {
 namespace {
@@ -14,7 +15,7 @@
 /// Time that an answer takes to reach its caller.
 constexpr Duration kAnswerDeliveryTime = milliseconds(20);
 
-enum class Unavailable : std::uint8_t { kNoServer, kNoOwner, kFull };
+enum class Unavailable : std::uint8_t { kNoServer, kNoOwner, kFull, kQuiet };
 
 std::string_view reason_of(Unavailable why) {
   switch (why) {
@@ -24,10 +25,17 @@
       return "no_owner";
     case Unavailable::kFull:
       return "servers_full";
+    case Unavailable::kQuiet:
+      return "servers_quiet";
   }
   return "unknown";
 }
 
+/// Longest time for which a request waits for a server with room.
+Duration longest_wait(const RequestState& request) {
+  return scaled(request.route->objective, config::kMaxWaitObjectiveShare);
+}
+
 /// Queue places that only callers who retry after a refusal may use.
 std::uint32_t retrying_caller_allowance(const RequestState& request) {
   return request.retried_by_caller ? config::kRetryingCallerExtraQueue : 0;
@@ -44,6 +52,7 @@
     return Unavailable::kNoOwner;
   }
   const ServerState& server = state.servers.at(range->owner.name);
+  if (now < server.quiet_until) return Unavailable::kQuiet;
   if (now < server.blocked_until) return Unavailable::kNoOwner;
   Candidate owner = candidate_of(state, server, now);
   owner.load -= std::min(owner.load, retrying_caller_allowance(request));
@@ -51,25 +60,61 @@
   return range->owner.name;
 }
 
+/// Adds the servers at one distance that the request has not been sent to yet.
+/// False if none of them may be sent requests.
+bool add_candidates(const State& state, const RequestState& request,
+                    const std::vector<const ServerState*>& servers,
+                    TimePoint now, std::vector<Candidate>& candidates) {
+  bool usable = false;
+  for (const ServerState* server : servers) {
+    if (!accepts_work(*server) || !accepts_requests(*server, now)) continue;
+    usable = true;
+    if (std::find(request.tried_servers.begin(), request.tried_servers.end(),
+                  server->server.name) != request.tried_servers.end()) {
+      continue;
+    }
+    Candidate candidate = candidate_of(state, *server, now);
+    candidate.load -=
+        std::min(candidate.load, retrying_caller_allowance(request));
+    candidates.push_back(std::move(candidate));
+  }
+  return usable;
+}
+
 std::variant<ServerName, Unavailable> any_server(State& state,
                                                  const RequestState& request,
                                                  TimePoint now) {
-  std::vector<Candidate> candidates =
-      all_candidates(state, request.service, now);
-  if (candidates.empty()) return Unavailable::kNoServer;
-  std::vector<Candidate> untried;
-  for (const Candidate& candidate : candidates) {
-    if (std::find(request.tried_servers.begin(), request.tried_servers.end(),
-                  candidate.name) == request.tried_servers.end()) {
-      untried.push_back(candidate);
-      Candidate& added = untried.back();
-      added.load -= std::min(added.load, retrying_caller_allowance(request));
-    }
+  auto listed = state.by_distance.find(request.service);
+  if (listed == state.by_distance.end()) return Unavailable::kNoServer;
+  Duration objective = request.route->objective;
+  ++state.tie_breaker;
+  bool usable = false;
+  std::vector<Candidate> candidates;
+  // Servers further away are looked at only if no near one has a free slot, so
+  // that the usual cost does not grow with the service.
+  for (Distance furthest : {Distance::kSameZone, Distance::kSameRegion}) {
+    usable =
+        add_candidates(state, request,
+                       listed->second.at(static_cast<std::size_t>(furthest)),
+                       now, candidates) ||
+        usable;
+    auto near =
+        choose_nearby(candidates, furthest, objective, state.tie_breaker);
+    if (near) return candidates[*near].name;
   }
-  if (untried.empty()) return Unavailable::kNoServer;
-  auto chosen = choose(untried, request.route->objective, ++state.tie_breaker);
+  usable =
+      add_candidates(
+          state, request,
+          listed->second.at(static_cast<std::size_t>(Distance::kOtherRegion)),
+          now, candidates) ||
+      usable;
+  if (candidates.empty()) {
+    return !usable && quiet_end(state, request, now) ? Unavailable::kQuiet
+                                                     : Unavailable::kNoServer;
+  }
+  auto chosen = choose(candidates, objective, state.tie_breaker);
   if (!chosen) return Unavailable::kFull;
-  return untried[*chosen].name;
+  return candidates[*chosen].name;
 }
 
 void send(State& state, RequestState& request, const ServerName& name,
@@ -79,6 +124,7 @@
   request.phase = RequestPhase::kSent;
   request.attempt = AttemptId(state.next_attempt++);
   request.server = name;
+  request.server_incarnation = server.server.incarnation;
   request.sent_at = now;
   request.in_flight_at_send = candidate.load;
   request.expected_time = expected_finish(candidate);
@@ -126,12 +172,34 @@
   if (found == state.by_service.end()) return candidates;
   for (const ServerName& name : found->second) {
     const ServerState& server = state.servers.at(name);
-    if (!accepts_work(server) || now < server.blocked_until) continue;
+    if (!accepts_work(server) || !accepts_requests(server, now)) continue;
     candidates.push_back(candidate_of(state, server, now));
   }
   return candidates;
 }
 
+std::optional<TimePoint> quiet_end(const State& state,
+                                   const RequestState& request, TimePoint now) {
+  std::optional<TimePoint> earliest;
+  auto add = [&](const ServerState& server) {
+    if (!accepts_work(server) || now >= server.quiet_until) return;
+    earliest =
+        std::min(earliest.value_or(server.quiet_until), server.quiet_until);
+  };
+  if (request.key) {
+    auto map = state.maps.find(request.service);
+    if (map == state.maps.end() || !map->second.map) return std::nullopt;
+    const KeyRange* range = find_range(*map->second.map, *request.key);
+    if (range != nullptr && is_current(state, range->owner))
+      add(state.servers.at(range->owner.name));
+    return earliest;
+  }
+  auto listed = state.by_service.find(request.service);
+  if (listed == state.by_service.end()) return std::nullopt;
+  for (const ServerName& name : listed->second) add(state.servers.at(name));
+  return earliest;
+}
+
 TimePoint give_up_time(const RequestState& request) {
   TimePoint timeout = request.arrived_at + request.route->timeout;
   if (request.deadline < timeout) return request.deadline - kAnswerDeliveryTime;
@@ -152,18 +220,48 @@
     return send(state, request, *name, now, effects);
   }
   request.phase = RequestPhase::kWaiting;
-  Duration waited = now - request.arrived_at;
-  Duration longest_wait =
-      scaled(request.route->objective, config::kMaxWaitObjectiveShare);
   Unavailable why = std::get<Unavailable>(target);
   // Waiting does not help if nothing is about to change.
   bool waiting_is_futile = why == Unavailable::kNoServer ||
                            (request.key && why == Unavailable::kFull);
-  if (waiting_is_futile || waited >= longest_wait) {
+  if (why == Unavailable::kQuiet) {
+    auto end = quiet_end(state, request, now);
+    waiting_is_futile =
+        end && *end > request.arrived_at + longest_wait(request);
+  }
+  if (waiting_is_futile || now - request.arrived_at >= longest_wait(request)) {
     refuse(state, request, reason_of(why), now, effects);
   }
 }
 
+void dispatch_waiting(State& state, const std::vector<RequestId>& ids,
+                      TimePoint now, Effects& effects) {
+  // Longest objective for which no server of a service had room.
+  std::map<ServiceName, Duration> full;
+  for (RequestId id : ids) {
+    auto found = state.requests.find(id);
+    if (found == state.requests.end()) continue;
+    RequestState& request = found->second;
+    bool first_choice = !request.key && request.tried_servers.empty() &&
+                        retrying_caller_allowance(request) == 0;
+    auto known = full.find(request.service);
+    if (first_choice && known != full.end() &&
+        request.route->objective <= known->second) {
+      if (now - request.arrived_at >= longest_wait(request))
+        refuse(state, request, reason_of(Unavailable::kFull), now, effects);
+      continue;
+    }
+    ServiceName service = request.service;
+    Duration objective = request.route->objective;
+    dispatch(state, request, now, effects);
+    found = state.requests.find(id);
+    if (first_choice && found != state.requests.end() &&
+        found->second.phase == RequestPhase::kWaiting) {
+      full[service] = std::max(full[service], objective);
+    }
+  }
+}
+
 void resend_slow_request(State& state, RequestState& request, TimePoint now,
                          Effects& effects) {
   bool due = request.route->repeatable &&
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -95,6 +95,12 @@
 };
 
 // From backend servers.
+/// What a server's answer says about the server itself.
+struct ServerNotice {
+  bool leaving = false;  ///< The server is about to end.
+  /// The server wants no requests of this daemon for this long; 0: none asked.
+  Duration quiet_for{0};
+};
 enum class AttemptResult : std::uint8_t {
   kAnswered,    ///< A complete answer that belongs to the request.
   kNotRun,      ///< The server states that it has not run the request.
@@ -110,6 +116,7 @@
   bool no_listener = false;  ///< With kNotSent: the connection was refused.
   std::shared_ptr<const ServerAnswer> answer;
   std::string why;
+  ServerNotice notice;
 };
 enum class OrderResult : std::uint8_t {
   kDone,
@@ -125,6 +132,7 @@
   OrderResult result = OrderResult::kUnanswered;
   std::string handover;  ///< From the answer to a release.
   std::string why;
+  ServerNotice notice;
 };
 
 // From the process.
--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -6,6 +6,7 @@
 #include "fleet/log_event.h"
 #include "fleet/ownership.h"
 #include "fleet/registry.h"
+#include "fleet/server_notices.h"
 
 namespace eelgrasspin::fleet {
 namespace {
@@ -325,6 +326,7 @@
   if (found == state.orders.end()) return;
   Order order = found->second;
   state.orders.erase(found);
+  on_server_notice(state, order.server, ended.notice, now, effects);
   MapState& map = state.maps[order.service];
   Lease* lease = lease_of(map, order);
   if (lease != nullptr && lease->pending_order == ended.order) {
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -172,6 +172,9 @@
   };
   std::vector<KeyLoadReport> key_load_reports;
   std::vector<Strike> strikes;  ///< Those of the last kStrikeAnnouncementTime.
+  /// Servers that have announced that they are leaving, within the last
+  /// kLeavingReportTime.
+  std::vector<ServerIncarnation> leaving_servers;
   /// How current a zone relay's copies of the store are.
   struct View {
     Version configuration;  ///< Store revision of its last change.
@@ -205,15 +208,19 @@
   std::optional<Duration> since_outage;
 };
 
-/// Heartbeats of the daemons of one availability zone, forwarded to another
-/// zone.
+/// What the relay of one availability zone tells other zones about its daemons.
 struct HeartbeatBatch {
+  ZoneName zone;
+  /// The first one is that of the relay. Their loads are summed up in `loads`.
   std::vector<Heartbeat> heartbeats;
+  /// Requests of all daemons of the zone.
+  std::vector<Heartbeat::Load> loads;
   /// Set if the receiver has to forward the batch to the daemons of its zone.
   bool forward_within_zone = false;
 };
 
-/// Change that a coordinator made to its map; sent to all daemons at once.
+/// Change that a coordinator made to its map; sent at once to the daemons of
+/// its zone and to the relays of the other zones.
 struct MapChange {
   ServiceName service;
   Version base;      ///< Revision of the map that was changed.
@@ -224,6 +231,8 @@
   Epoch last_epoch{1};
   /// Changed ranges; they replace the ranges that they overlap.
   std::vector<KeyRange> ranges;
+  /// Set if a relay that receives it has to forward it to its zone.
+  bool forward_within_zone = false;
 };
 
 /// The change that turns `before` at revision `base` into `after`.
--- a/src/fleet/requests.cc
+++ b/src/fleet/requests.cc
@@ -8,6 +8,7 @@
 #include "fleet/log_event.h"
 #include "fleet/quarantine.h"
 #include "fleet/requests_p.h"
+#include "fleet/server_notices.h"
 
 namespace eelgrasspin::fleet {
 namespace {
@@ -116,6 +117,7 @@
 void tick_requests(State& state, TimePoint now, Effects& effects) {
   decay_key_loads(state, now);
   expire_strikes(state, now);
+  expire_leaving_reports(state, now);
   std::vector<RequestId> due;
   for (const auto& [id, request] : state.requests) {
     if (now >= give_up_time(request)) due.push_back(id);
@@ -146,12 +148,7 @@
   std::vector<RequestId> ids;
   ids.reserve(waiting.size());
   for (const RequestState* request : waiting) ids.push_back(request->id);
-  for (RequestId id : ids) {
-    auto found = state.requests.find(id);
-    if (found != state.requests.end()) {
-      dispatch(state, found->second, now, effects);
-    }
-  }
+  dispatch_waiting(state, ids, now, effects);
 }
 
 }  // namespace eelgrasspin::fleet
--- a/src/fleet/requests_p.h
+++ b/src/fleet/requests_p.h
@@ -1,6 +1,7 @@
 #ifndef EELGRASSPIN_FLEET_REQUESTS_P_H_
 #define EELGRASSPIN_FLEET_REQUESTS_P_H_
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -49,12 +50,20 @@
 std::vector<Candidate> all_candidates(const State& state,
                                       const ServiceName& service,
                                       TimePoint now);
+/// When the first of the servers that could take the request, and have asked
+/// for quiet, may be sent requests again. Empty if none has.
+std::optional<TimePoint> quiet_end(const State& state,
+                                   const RequestState& request, TimePoint now);
 /// Time at which a request is ended here even if its server has not answered.
 TimePoint give_up_time(const RequestState& request);
 /// Sends the request if a server can take it now, else leaves it waiting or
 /// refuses it. May erase the request.
 void dispatch(State& state, RequestState& request, TimePoint now,
               Effects& effects);
+/// Does so for several requests in their order. Those that need the same server
+/// as one that found none with room wait on.
+void dispatch_waiting(State& state, const std::vector<RequestId>& ids,
+                      TimePoint now, Effects& effects);
 /// Sends a repeatable request again, to another server or on another connection
 /// to its owner, if it has exceeded its response timeout and a server has room.
 void resend_slow_request(State& state, RequestState& request, TimePoint now,
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -33,6 +33,10 @@
   TimePoint success_rate_at;
   /// The server is not chosen until then, because a connection failed.
   TimePoint blocked_until;
+  /// This incarnation has announced in an answer that it is leaving.
+  bool announced_leaving = false;
+  /// The server has asked this daemon to send it nothing until then.
+  TimePoint quiet_until;
   double answer_count = 0;  ///< Decayed number of answers measured.
   TimePoint answer_count_at;
 };
@@ -40,18 +44,32 @@
 /// The last heartbeat of another daemon.
 struct PeerState {
   Heartbeat heartbeat;
-  TimePoint received_at;  ///< Here, or at the relay that forwarded it.
+  TimePoint received_at;       ///< Here, or at the relay that forwarded it.
+  bool loads_counted = false;  ///< In FleetState::loads.
   TimePoint key_loads_received_at;  ///< Of `heartbeat.key_load_reports`.
 };
 
+/// Requests of all daemons of a zone.
+struct ZoneLoads {
+  std::vector<Heartbeat::Load> loads;
+  TimePoint received_at;
+};
+
 /// The other daemons, and the heartbeats that this daemon has sent.
 struct FleetState {
   /// All daemons, this one included, known from the store or from heartbeats.
   std::map<DaemonName, DaemonRecord> daemon_records;
+  /// Addresses of the other daemons of the own zone; empty if `daemon_records`
+  /// has changed since they were collected.
+  std::optional<std::vector<Endpoint>> zone_members;
   /// Daemons from which a heartbeat has been received.
   std::map<DaemonName, PeerState> peers;
-  /// Requests of each other daemon at each server, from its last heartbeat.
-  std::map<ServerName, std::map<DaemonName, std::uint32_t>> loads;
+  /// Requests of the daemons of other zones, by zone, as their relays have
+  /// summed them up.
+  std::map<ZoneName, ZoneLoads> zone_loads;
+  /// Requests of all other daemons at each server: the sum of `zone_loads` and
+  /// of the heartbeats with `loads_counted`.
+  std::unordered_map<ServerName, std::uint32_t> loads;
   std::uint64_t sequence = 0;  ///< Of the last heartbeat sent.
   TimePoint own_region_heartbeat_at;
   TimePoint regular_heartbeat_at;
@@ -59,8 +77,16 @@
   TimePoint key_loads_sent_at;
   TimePoint own_region_batch_at;
   TimePoint other_region_batch_at;
+  TimePoint own_region_members_at;
+  TimePoint loads_expired_at;
+  /// The relay of the own zone, and when it was determined.
+  std::optional<DaemonName> own_relay;
+  std::optional<TimePoint> own_relay_at;
   std::uint64_t batches_sent = 0;
   bool load_changed = false;  ///< Since the last heartbeat to the own region.
+  /// Servers that announced that they are leaving, and when this daemon learned
+  /// of it; oldest first.
+  std::deque<std::pair<TimePoint, ServerIncarnation>> leaving_reports;
 };
 
 /// State of the grant for one key range, as its coordinator knows it.
@@ -165,6 +191,7 @@
   RequestPhase phase = RequestPhase::kWaiting;
   AttemptId attempt;  ///< The last one.
   ServerName server;  ///< Of the last attempt.
+  Incarnation server_incarnation;
   TimePoint sent_at;
   Duration expected_time{0};            ///< From send to answer.
   bool retried_by_caller = false;       ///< The caller was refused before.
@@ -213,14 +240,25 @@
   std::optional<TimePoint> behind_since;
 };
 
-/// Everything that a daemon's reducer knows.
+/// Everything that a daemon's reducer knows. It is not copied, because
+/// `by_distance` points into it.
 struct State {
+  State() = default;
+  State(State&&) = default;
+  State& operator=(State&&) = default;
+
   Settings settings;
   TimePoint started;
   std::shared_ptr<const Configuration> configuration;
   std::map<ServerName, ServerState> servers;
-  /// Servers that the registry lists, by service.
+  /// When expire_servers() has to look at the servers next, if at all.
+  std::optional<TimePoint> servers_due;
+  /// Servers that the registry lists, by service and in order of names.
   std::map<ServiceName, std::vector<ServerName>> by_service;
+  /// The same servers, by distance to this daemon. The pointers lead into
+  /// `servers`.
+  std::map<ServiceName, std::array<std::vector<const ServerState*>, 3>>
+      by_distance;
   FleetState fleet;
   std::map<ServiceName, MapState> maps;
   std::map<std::uint64_t, Order> orders;
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -120,6 +120,118 @@
   EXPECT_FALSE(value(result).draining);
 }
 
+std::string nested(std::size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// Entries of the registry that another writer may have left.
+std::vector<std::string> odd_specs() {
+  auto with = [](std::string_view from, const std::string& to) {
+    std::string changed = kServer;
+    return changed.replace(changed.find(from), from.size(), to);
+  };
+  return {nested(31),
+          nested(33),
+          nested(100'000),
+          std::string(50'000, '[') + R"("]\"[")" + std::string(50'000, ']'),
+          with("1768982855592", "1e99999999999999"),
+          with("1768982855592", std::string(5000, '9')),
+          with("\"slots\":2", "\"slots\":4294967297"),
+          with("\"slots\":2", "\"slots\":4000000000"),
+          with("\"slots\":2", "\"slots\":-1"),
+          with(":8080", ":0"),
+          with(":8080", ":70000"),
+          with(":8080", ""),
+          with("10.128.0.9:8080", "somewhere:80"),
+          with("\"10.128.0.9:8080\"", "7"),
+          with("10.128.0.9", "\xff\xfe"),
+          "\"" + std::string(100'000, 'x') + "\"",
+          "[]",
+          "null"};
+}
+
+TEST(PlatformObjects, OddEntryDoesNotHideTheOthers) {
+  std::string sound =
+      std::string(R"({"metadata":{"name":"i-1","rev":4},"spec":)") + kServer +
+      "}";
+  for (const std::string& spec : odd_specs()) {
+    std::string odd =
+        R"({"metadata":{"name":"odd","rev":5},"spec":)" + spec + "}";
+    std::string label = spec.substr(0, 120);
+    auto page = read_list(
+        io::ObjectKind::kServers,
+        R"({"items":[)" + odd + "," + sound + R"(],"hasMore":false,"asOf":9})");
+    ASSERT_TRUE(ok(page)) << label << ": " << error(page).message;
+    ASSERT_EQ(value(page).objects.size(), 2u) << label;
+    EXPECT_EQ(value(page).objects[0].name, "odd") << label;
+    EXPECT_FALSE(
+        std::holds_alternative<fleet::Server>(value(page).objects[0].value))
+        << label;
+    EXPECT_TRUE(
+        std::holds_alternative<fleet::Server>(value(page).objects[1].value))
+        << label;
+    auto changes = read_changes(io::ObjectKind::kServers,
+                                R"({"events":[{"object":)" + odd +
+                                    R"(,"deleted":false},{"object":)" + sound +
+                                    R"(,"deleted":false}],"asOf":9})");
+    ASSERT_TRUE(ok(changes)) << label;
+    ASSERT_EQ(value(changes).objects.size(), 2u) << label;
+    EXPECT_TRUE(
+        std::holds_alternative<fleet::Server>(value(changes).objects[1].value))
+        << label;
+    EXPECT_EQ(value(changes).as_of, Version(9)) << label;
+  }
+}
+
+TEST(PlatformObjects, UnknownFieldOfAnyDepthIsIgnored) {
+  std::string spec = kServer;
+  spec.insert(1, R"("more":)" + nested(5000) + ",");
+  auto page = read_list(io::ObjectKind::kServers,
+                        R"({"items":[{"metadata":{"name":"i-1","rev":4},)"
+                        R"("spec":)" +
+                            spec + R"(}],"hasMore":false,"asOf":9})");
+  ASSERT_TRUE(ok(page));
+  EXPECT_TRUE(
+      std::holds_alternative<fleet::Server>(value(page).objects[0].value));
+}
+
+TEST(PlatformObjects, ObjectWithoutReadableMetadataDoesNotHideTheOthers) {
+  std::string sound =
+      std::string(R"({"metadata":{"name":"i-1","rev":4},"spec":)") + kServer +
+      "}";
+  for (const char* odd :
+       {"7", "{}", R"({"metadata":[]})", R"({"metadata":{"name":"odd"}})",
+        R"({"metadata":{"name":3,"rev":1}})",
+        R"({"metadata":{"name":"odd","rev":-1},"spec":{}})"}) {
+    auto page = read_list(io::ObjectKind::kServers,
+                          std::string(R"({"items":[)") + odd + "," + sound +
+                              R"(],"hasMore":false,"asOf":9})");
+    ASSERT_TRUE(ok(page)) << odd;
+    ASSERT_EQ(value(page).objects.size(), 2u) << odd;
+    EXPECT_TRUE(std::holds_alternative<io::UnreadableObject>(
+        value(page).objects[0].value))
+        << odd;
+  }
+}
+
+/// Values that are too deep are dropped, whatever strings contain.
+RC_GTEST_PROP(PlatformObjects, BracketsInStringsAreNotNesting,
+              (const std::string& text)) {
+  std::string quoted;
+  for (char c : text) {
+    if (c == '"' || c == '\\') quoted += '\\';
+    if (static_cast<unsigned char>(c) >= 0x20) quoted += c;
+  }
+  auto page = read_list(
+      io::ObjectKind::kRecords,
+      R"({"items":[{"metadata":{"name":"a","rev":1},"spec":)" + nested(100) +
+          R"(},{"metadata":{"name":"b","rev":2},"spec":"[[{\"]] )" + quoted +
+          R"("}],"hasMore":false,"asOf":9})");
+  RC_ASSERT(ok(page));
+  RC_ASSERT(value(page).objects.size() == 2u);
+  RC_ASSERT(value(page).objects[1].name == "b");
+}
+
 TEST(PlatformObjects, UnreadableEntriesDoNotHideReadableOnes) {
   std::string list =
       std::string(R"({"items":[)") +
@@ -208,6 +320,38 @@
       AttemptResult::kAnswerLost);
 }
 
+TEST(PlatformRequests, ServersAnnounceThatTheyLeave) {
+  HeaderFormat format;
+  auto leaving = [&](int status, io::HeaderFields headers) {
+    headers.emplace_back(kServerLeavingHeader, "1");
+    return format.classify({status, std::move(headers), "", false})
+        .notice.leaving;
+  };
+  EXPECT_TRUE(leaving(200, {{kResponseStampHeader, "s"}}));
+  EXPECT_TRUE(leaving(503, {{kNotRunHeader, "1"}}));
+  EXPECT_FALSE(leaving(421, {})) << "another server may have the address";
+  EXPECT_FALSE(format.classify({200, {{kResponseStampHeader, "s"}}, "", false})
+                   .notice.leaving);
+}
+
+TEST(PlatformRequests, RetryAfterOfA503AsksForQuiet) {
+  auto quiet_for = [](int status, const char* retry_after) {
+    return server_notice(
+               {status, {{kRetryAfterHeader, retry_after}}, "", false})
+        .quiet_for;
+  };
+  EXPECT_EQ(quiet_for(503, "2"), seconds(2));
+  EXPECT_EQ(quiet_for(503, "0.25"), milliseconds(250));
+  EXPECT_EQ(quiet_for(200, "2"), Duration(0));
+  for (const char* unusable :
+       {"0", "-3", "", "soon", "nan", "2 s", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    EXPECT_EQ(quiet_for(503, unusable), Duration(0)) << unusable;
+  }
+  for (const char* huge : {"1e300", "99999999999999999999", "inf"}) {
+    EXPECT_GE(quiet_for(503, huge), seconds(3600)) << huge;
+  }
+}
+
 TEST(PlatformRequests, ResponsesToOtherRequestsDoNotMatch) {
   HeaderFormat format;
   EXPECT_TRUE(format.matches_request(
