Make the cost of heartbeats grow with the fleet and not with its square

Change: the sum of the other daemons' loads is kept per server; a relay reports the sum of its zone and lists its daemons each 500 ms only; heartbeats of large zones are rarer; the own relay, the members of the zone and the servers by distance are kept until they change; servers are looked at by expire_servers() only when due; waiting requests are tried at ticks; far servers only if no near one has a free slot. New daemons announce themselves to all only until a relay knows them; a map change goes to each zone once.

--- a/src/fleet/choice.cc
+++ b/src/fleet/choice.cc
@@ -58,15 +58,21 @@
          expected_wait(candidate) + candidate.service_time <= objective;
 }
 
+std::optional<std::size_t> choose_nearby(
+    const std::vector<Candidate>& candidates, Distance furthest,
+    Duration objective, std::uint64_t tie_breaker) {
+  auto best = best_of(candidates, tie_breaker, furthest, true, objective);
+  Duration limit = scaled(objective, config::kNearestServerObjectiveShare);
+  if (!best || best->finish > limit) return std::nullopt;
+  return best->index;
+}
+
 std::optional<std::size_t> choose(const std::vector<Candidate>& candidates,
                                   Duration objective,
                                   std::uint64_t tie_breaker) {
-  if (candidates.empty()) return std::nullopt;
-  Duration nearest_limit =
-      scaled(objective, config::kNearestServerObjectiveShare);
   for (Distance furthest : {Distance::kSameZone, Distance::kSameRegion}) {
-    auto best = best_of(candidates, tie_breaker, furthest, true, objective);
-    if (best && best->finish <= nearest_limit) return best->index;
+    auto nearby = choose_nearby(candidates, furthest, objective, tie_breaker);
+    if (nearby) return nearby;
   }
   auto best = best_of(candidates, tie_breaker, Distance::kOtherRegion, false,
                       objective);
--- a/src/fleet/choice.h
+++ b/src/fleet/choice.h
@@ -31,6 +31,12 @@
 /// the objective.
 bool has_room(const Candidate& candidate, Duration objective);
 
+/// Index of the best candidate with a free slot that is no further away than
+/// `furthest`, if it is expected to answer within kNearestServerObjectiveShare
+/// of the objective.
+std::optional<std::size_t> choose_nearby(
+    const std::vector<Candidate>& candidates, Distance furthest,
+    Duration objective, std::uint64_t tie_breaker);
 /// Index of the best candidate with room; empty if none has room. Which one of
 /// several equal candidates is chosen depends on `tie_breaker`.
 std::optional<std::size_t> choose(const std::vector<Candidate>& candidates,
--- a/src/fleet/learning.cc
+++ b/src/fleet/learning.cc
@@ -52,7 +52,7 @@
   return {server.server.name,
           distance_to(state, server.server.zone),
           server.server.slots,
-          load_at(state, server, now),
+          load_at(state, server),
           service_time(state, server, now),
           current_success_rate(server, now)};
 }
--- a/src/fleet/model.cc
+++ b/src/fleet/model.cc
@@ -39,7 +39,8 @@
                    after.coordinator_incarnation,
                    after.term,
                    after.last_epoch,
-                   {}};
+                   {},
+                   false};
   for (const KeyRange& range : after.ranges) {
     const KeyRange* old = find_range(before, range.first);
     if (old == nullptr || *old != range) change.ranges.push_back(range);
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -10,6 +10,7 @@
 #include "fleet/registry.h"
 #include "fleet/replan.h"
 #include "fleet/requests.h"
+#include "fleet/zone_relay.h"
 
 namespace eelgrasspin::fleet {
 namespace {
@@ -199,6 +200,8 @@
 void on_map_change(State& state, const MapChangeReceived& received,
                    TimePoint now, Effects& effects) {
   const MapChange& change = received.change;
+  if (change.forward_within_zone)
+    forward_map_change(state, change, now, effects);
   auto found = state.maps.find(change.service);
   if (found == state.maps.end() || !found->second.map) return;
   MapState& map = found->second;
@@ -227,9 +230,10 @@
       OwnerMap written = std::move(*map.pending_write);
       map.pending_write.reset();
       if (map.map) {
-        effects.emplace_back(SendMapChange{
+        send_map_change(
+            state,
             change_between(*map.map, map.revision, written, ended.revision),
-            all_receivers(state)});
+            now, effects);
       }
       adopt(state, map, written, ended.revision, now, effects);
       break;
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -3,29 +3,18 @@
 #include <algorithm>
 #include <utility>
 
+#include "fleet/loads.h"
 #include "fleet/log_event.h"
 #include "fleet/ownership.h"
 #include "fleet/quarantine.h"
 #include "fleet/registry.h"
-#include "fleet/requests.h"
+#include "fleet/server_notices.h"
 #include "fleet/store_view.h"
 #include "fleet/zone_relay.h"
 
 namespace eelgrasspin::fleet {
 namespace {
 
-std::vector<Heartbeat::Load> own_loads(const State& state, bool other_region) {
-  std::vector<Heartbeat::Load> loads;
-  for (const auto& [name, server] : state.servers) {
-    if (server.in_flight == 0 ||
-        (other_region && !matters_to_other_regions(state, server))) {
-      continue;
-    }
-    loads.push_back({name, server.in_flight});
-  }
-  return loads;
-}
-
 std::vector<Heartbeat::Term> own_terms(const State& state, TimePoint now) {
   std::vector<Heartbeat::Term> terms;
   for (const auto& [service, map] : state.maps) {
@@ -39,12 +28,12 @@
 
 /// Whether this daemon sends its heartbeats to all daemons directly: as a
 /// coordinator, because every daemon depends on its heartbeats, or shortly
-/// after its start, because no relay knows it yet.
-bool sends_to_all(const State& state, TimePoint now) {
-  if (state.fleet.peers.empty() ||
-      now - state.started < config::kStartAnnouncementTime) {
-    return true;
-  }
+/// after its start, until a relay of its zone knows it.
+bool sends_to_all(State& state, TimePoint now) {
+  if (state.fleet.peers.empty()) return true;
+  bool starting = now - state.started < config::kStartAnnouncementTime;
+  const auto& relay = own_relay(state, now);
+  if (starting && (!relay || *relay == state.settings.self.name)) return true;
   return std::any_of(state.maps.begin(), state.maps.end(), [](const auto& map) {
     return map.second.coordinator_role.has_value();
   });
@@ -73,24 +62,13 @@
     log_event(effects, "daemon_forgotten",
               {{"daemon", it->first.str()},
                {"silent", text(now - it->second.received_at)}});
+    discount_loads(state, it->second);
     state.fleet.daemon_records.erase(it->first);
-    for (auto& [server, loads] : state.fleet.loads) loads.erase(it->first);
+    state.fleet.zone_members.reset();
     it = state.fleet.peers.erase(it);
   }
 }
 
-void update_loads(State& state, const Heartbeat& before,
-                  const Heartbeat& heartbeat) {
-  const DaemonName& from = heartbeat.daemon.name;
-  for (const auto& load : before.loads) {
-    auto found = state.fleet.loads.find(load.server);
-    if (found != state.fleet.loads.end()) found->second.erase(from);
-  }
-  for (const auto& load : heartbeat.loads) {
-    state.fleet.loads[load.server][from] = load.in_flight;
-  }
-}
-
 }  // namespace
 
 void on_daemon(State& state, const DaemonSeen& seen) {
@@ -100,6 +78,7 @@
   if (!added && state.fleet.peers.count(seen.daemon.name) == 0) {
     found->second = seen.daemon;
   }
+  state.fleet.zone_members.reset();
 }
 
 bool accept_heartbeat(State& state, const Heartbeat& heartbeat, TimePoint now,
@@ -127,29 +106,35 @@
   }
   auto known = state.fleet.daemon_records.find(from);
   if (heartbeat.has_full_record) {
-    state.fleet.daemon_records[from] = heartbeat.daemon;
+    DaemonRecord& record = state.fleet.daemon_records[from];
+    if (record.zone != heartbeat.daemon.zone ||
+        record.peer != heartbeat.daemon.peer) {
+      state.fleet.zone_members.reset();
+    }
+    record = heartbeat.daemon;
   } else if (known != state.fleet.daemon_records.end()) {
     known->second.incarnation = heartbeat.daemon.incarnation;
   }
   PeerState& peer = state.fleet.peers[from];
-  update_loads(state, peer.heartbeat, heartbeat);
-  PeerState before = std::exchange(
-      peer, {heartbeat, now - heartbeat.age, now - heartbeat.age});
+  Heartbeat before = std::exchange(peer.heartbeat, heartbeat);
+  peer.received_at = now - heartbeat.age;
+  replace_loads(state, peer, before.loads);
   if (heartbeat.key_load_reports.empty()) {
-    peer.heartbeat.key_load_reports =
-        std::move(before.heartbeat.key_load_reports);
-    peer.key_loads_received_at = before.key_loads_received_at;
+    peer.heartbeat.key_load_reports = std::move(before.key_load_reports);
+  } else {
+    peer.key_loads_received_at = peer.received_at;
   }
   on_strikes(state, heartbeat.strikes, now);
+  on_leaving_reports(state, heartbeat.leaving_servers, now, effects);
   on_terms(state, heartbeat, now, effects);
   return true;
 }
 
 void on_heartbeat(State& state, const HeartbeatReceived& received,
                   TimePoint now, Effects& effects) {
-  if (accept_heartbeat(state, received.heartbeat, now, effects)) {
-    retry_waiting(state, now, effects);
-  }
+  // Waiting requests are tried again at the next tick: at each heartbeat the
+  // cost would grow with the daemons.
+  accept_heartbeat(state, received.heartbeat, now, effects);
 }
 
 Heartbeat own_heartbeat(State& state, TimePoint now, bool other_region) {
@@ -164,10 +149,17 @@
   heartbeat.terms = own_terms(state, now);
   heartbeat.loads = own_loads(state, other_region);
   heartbeat.strikes = recent_strikes(state, now);
+  heartbeat.leaving_servers = recent_leaving_reports(state, now);
   if (!other_region) heartbeat.view = own_view(state, now);
   return heartbeat;
 }
 
+Duration load_change_interval(std::size_t zone_daemons) {
+  return std::max(config::kLoadChangeHeartbeatInterval,
+                  config::kLoadChangeIntervalPerDaemon *
+                      static_cast<Duration::rep>(zone_daemons));
+}
+
 void send_heartbeats(State& state, TimePoint now, Effects& effects) {
   FleetState& fleet = state.fleet;
   bool all = sends_to_all(state, now);
@@ -185,8 +177,9 @@
   bool regular_due =
       now - fleet.regular_heartbeat_at >= config::kRegularHeartbeatInterval;
   bool load_change_due =
-      fleet.load_changed && now - fleet.own_region_heartbeat_at >=
-                                config::kLoadChangeHeartbeatInterval;
+      fleet.load_changed &&
+      now - fleet.own_region_heartbeat_at >=
+          load_change_interval(zone_members(state).size() + 1);
   if (regular_due || load_change_due) {
     fleet.own_region_heartbeat_at = now;
     if (regular_due) fleet.regular_heartbeat_at = now;
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -15,6 +15,10 @@
 /// The next heartbeat of this daemon, for daemons of other regions or of its
 /// own.
 Heartbeat own_heartbeat(State& state, TimePoint now, bool other_region);
+/// Minimum time between two heartbeats to the own zone while the load changes.
+/// It grows with the zone, so that the rate of heartbeats that a daemon
+/// receives does not.
+Duration load_change_interval(std::size_t zone_daemons);
 void send_heartbeats(State& state, TimePoint now, Effects& effects);
 /// Addresses of all known daemons and of the seeds, without this daemon.
 std::vector<Endpoint> all_receivers(const State& state);
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -14,26 +14,23 @@
 /// counted.
 constexpr Duration kRemovedServerRetention = seconds(60);
 
-void rebuild_service_index(State& state) {
-  state.by_service.clear();
-  for (const auto& [name, server] : state.servers) {
-    if (!server.removed)
-      state.by_service[server.server.service].push_back(name);
-  }
-}
-
 void start_leaving(ServerState& server, TimePoint now) {
   if (server.leaving) return;
   server.leaving = true;
   server.leaving_since = now;
 }
 
-void update_server(State& state, const Server& server, TimePoint now,
+/// Applies an entry. True if the lists of servers have to be brought up to
+/// date.
+bool update_server(State& state, const Server& server, TimePoint now,
                    Effects& effects) {
   auto [found, added] = state.servers.try_emplace(server.name);
   ServerState& entry = found->second;
   bool restarted = !added && entry.server.incarnation != server.incarnation;
   bool was_leaving = entry.leaving;
+  bool listed_anew = added || entry.removed ||
+                     entry.server.service != server.service ||
+                     entry.server.zone != server.zone;
   if (restarted) {
     if (!entry.leaving) {
       on_server_crash(state, incarnation_of(entry.server), now, effects);
@@ -63,6 +60,7 @@
          {"incarnation", text(server.incarnation.value)},
          {"change", added ? "added" : (restarted ? "restarted" : "state")}});
   }
+  return listed_anew;
 }
 
 void remove_server(State& state, ServerState& entry, TimePoint now,
@@ -73,12 +71,14 @@
     bool in_outage = state.store_failed_at > state.store_answered_at;
     entry.may_return_until = (in_outage ? now : state.outage_ended_at) +
                              config::kRegistryRecoveryTime;
+    state.servers_due = now;
     return;
   }
   if (!entry.leaving) {
     on_server_crash(state, incarnation_of(entry.server), now, effects);
   }
   entry.removed = true;
+  state.servers_due = now;
   start_leaving(entry, now);
   log_event(effects, "server",
             {{"server", entry.server.name.str()},
@@ -89,6 +89,18 @@
 
 }  // namespace
 
+void index_servers(State& state) {
+  state.by_service.clear();
+  state.by_distance.clear();
+  for (const auto& [name, server] : state.servers) {
+    if (server.removed) continue;
+    state.by_service[server.server.service].push_back(name);
+    auto distance =
+        static_cast<std::size_t>(distance_to(state, server.server.zone));
+    state.by_distance[server.server.service].at(distance).push_back(&server);
+  }
+}
+
 bool in_or_after_outage(const State& state, TimePoint now) {
   bool in_outage = state.store_failed_at > state.store_answered_at;
   return in_outage ||
@@ -112,14 +124,13 @@
   for (auto& [name, entry] : state.servers) {
     if (present.count(name) == 0) remove_server(state, entry, now, effects);
   }
-  rebuild_service_index(state);
+  index_servers(state);
   retry_waiting(state, now, effects);
 }
 
 void on_server(State& state, const ServerSeen& seen, TimePoint now,
                Effects& effects) {
-  update_server(state, seen.server, now, effects);
-  rebuild_service_index(state);
+  if (update_server(state, seen.server, now, effects)) index_servers(state);
   retry_waiting(state, now, effects);
 }
 
@@ -128,10 +139,15 @@
   auto found = state.servers.find(removed.name);
   if (found == state.servers.end()) return;
   remove_server(state, found->second, now, effects);
-  rebuild_service_index(state);
+  index_servers(state);
 }
 
 void expire_servers(State& state, TimePoint now, Effects& effects) {
+  if (!state.servers_due || now < *state.servers_due) return;
+  state.servers_due.reset();
+  auto look_again = [&](TimePoint at) {
+    state.servers_due = std::min(state.servers_due.value_or(at), at);
+  };
   bool changed = false;
   bool in_outage = state.store_failed_at > state.store_answered_at;
   for (auto it = state.servers.begin(); it != state.servers.end();) {
@@ -153,15 +169,21 @@
         now - entry.leaving_since > kRemovedServerRetention) {
       it = state.servers.erase(it);
       changed = true;
-    } else {
-      ++it;
+      continue;
+    }
+    // An outage that lasts on moves the time until which an entry may return.
+    if (entry.may_return_until) look_again(now);
+    if (entry.removed) {
+      look_again(std::max(now + seconds(1),
+                          entry.leaving_since + kRemovedServerRetention));
     }
+    ++it;
   }
-  if (changed) rebuild_service_index(state);
+  if (changed) index_servers(state);
 }
 
 bool accepts_work(const ServerState& server) {
-  return !server.leaving && !server.removed;
+  return !server.leaving && !server.removed && !server.announced_leaving;
 }
 
 ServerIncarnation incarnation_of(const Server& server) {
@@ -174,15 +196,10 @@
          found->second.server.incarnation == server.incarnation;
 }
 
-std::uint32_t load_at(const State& state, const ServerState& server,
-                      TimePoint now) {
+std::uint32_t load_at(const State& state, const ServerState& server) {
   std::uint32_t load = server.in_flight;
   auto found = state.fleet.loads.find(server.server.name);
-  if (found == state.fleet.loads.end()) return load;
-  for (const auto& [daemon, count] : found->second) {
-    if (is_alive(state, daemon, now)) load += count;
-  }
-  return load;
+  return found == state.fleet.loads.end() ? load : load + found->second;
 }
 
 Distance distance_to(const State& state, const ZoneName& zone) {
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -16,6 +16,8 @@
 /// removed, and drops servers that were removed long ago.
 void expire_servers(State& state, TimePoint now, Effects& effects);
 
+/// Brings the lists of servers by service and by distance up to date.
+void index_servers(State& state);
 /// Whether the store is unreachable, or was until kRegistryRecoveryTime ago:
 /// entries that expired in that time may return.
 bool in_or_after_outage(const State& state, TimePoint now);
@@ -26,8 +28,7 @@
 ServerIncarnation incarnation_of(const Server& server);
 /// Number of requests at the server, of this daemon and of all others that are
 /// alive.
-std::uint32_t load_at(const State& state, const ServerState& server,
-                      TimePoint now);
+std::uint32_t load_at(const State& state, const ServerState& server);
 
 enum class Distance : std::uint8_t { kSameZone, kSameRegion, kOtherRegion };
 Distance distance_to(const State& state, const ZoneName& zone);
--- a/src/fleet/store_view.cc
+++ b/src/fleet/store_view.cc
@@ -20,9 +20,9 @@
 
 /// The relay of the zone, if it is another daemon whose copies are current;
 /// else null.
-const PeerState* followed_relay(const State& state, TimePoint now) {
+const PeerState* followed_relay(State& state, TimePoint now) {
   const DaemonRecord& self = state.settings.self;
-  auto relay = zone_relay(state, self.zone, now);
+  auto relay = own_relay(state, now);
   if (!relay || *relay == self.name) return nullptr;
   const PeerState& peer = state.fleet.peers.at(*relay);
   const Heartbeat& heartbeat = peer.heartbeat;
@@ -111,7 +111,7 @@
   retry_waiting(state, now, effects);
 }
 
-bool should_watch(const State& state, TimePoint now) {
+bool should_watch(State& state, TimePoint now) {
   // A daemon whose own calls fail has to notice when the store answers again.
   return store_unreachable_for(state, now).count() > 0 ||
          any_view_unread(state) || coordinates_any(state) ||
@@ -142,9 +142,9 @@
   if (has_no_changes(update)) return;
   view.last_change = std::max(view.last_change, update.as_of);
   if (is_zone_relay(state, now)) {
-    std::vector<Endpoint> to = zone_members(state);
+    const std::vector<Endpoint>& to = zone_members(state);
     if (!to.empty()) {
-      effects.emplace_back(SendStoreUpdate{update, std::move(to)});
+      effects.emplace_back(SendStoreUpdate{update, to});
     }
   }
   apply_changes(state, update, now, effects);
@@ -170,7 +170,7 @@
   Duration wait = only_for_self ? config::kWatchWait : config::kRelayWatchWait;
   if (watch != state.watching || wait != state.watch_wait) {
     if (watch != state.watching) {
-      auto relay = zone_relay(state, state.settings.self.zone, now);
+      auto relay = own_relay(state, now);
       log_event(effects, watch ? "store_watched" : "store_followed",
                 {{"relay", relay ? relay->str() : "-"},
                  {"servers_as_of",
@@ -188,7 +188,7 @@
   }
 }
 
-std::optional<Heartbeat::View> own_view(const State& state, TimePoint now) {
+std::optional<Heartbeat::View> own_view(State& state, TimePoint now) {
   if (!state.watching || any_view_unread(state) || !is_zone_relay(state, now)) {
     return std::nullopt;
   }
--- a/src/fleet/store_view.h
+++ b/src/fleet/store_view.h
@@ -10,7 +10,7 @@
 namespace eelgrasspin::fleet {
 
 /// Whether this daemon has to watch the store itself.
-bool should_watch(const State& state, TimePoint now);
+bool should_watch(State& state, TimePoint now);
 
 /// Adopts a configuration if it is newer than the current one.
 void adopt_configuration(State& state, const ConfigurationSeen& seen,
@@ -25,7 +25,7 @@
 
 /// How current this daemon's copies are, for its heartbeats; empty unless it is
 /// the relay of its zone.
-std::optional<Heartbeat::View> own_view(const State& state, TimePoint now);
+std::optional<Heartbeat::View> own_view(State& state, TimePoint now);
 
 }  // namespace eelgrasspin::fleet
 
--- a/src/fleet/zone_relay.cc
+++ b/src/fleet/zone_relay.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <set>
 
+#include "fleet/loads.h"
 #include "fleet/peers.h"
 #include "fleet/registry.h"
-#include "fleet/requests.h"
 
 namespace eelgrasspin::fleet {
 namespace {
@@ -47,43 +47,49 @@
   return to;
 }
 
-HeartbeatBatch own_batch(State& state, bool other_region, TimePoint now) {
+/// Whether the heartbeat has to reach the other zones before the next batch
+/// that lists all daemons.
+bool is_urgent(const Heartbeat& heartbeat) {
+  return heartbeat.stopping || !heartbeat.strikes.empty() ||
+         !heartbeat.leaving_servers.empty();
+}
+
+HeartbeatBatch own_batch(State& state, bool other_region, bool all_members,
+                         TimePoint now) {
   HeartbeatBatch batch;
+  batch.zone = state.settings.self.zone;
   batch.forward_within_zone = true;
+  batch.loads = own_zone_loads(state, other_region);
   batch.heartbeats.push_back(own_heartbeat(state, now, other_region));
+  batch.heartbeats.back().loads.clear();
   bool with_full_records =
       ++state.fleet.batches_sent % config::kHeartbeatsPerFullRecord == 1;
   for (const auto& [name, peer] : state.fleet.peers) {
     auto known = state.fleet.daemon_records.find(name);
     if (known == state.fleet.daemon_records.end() ||
         known->second.zone != state.settings.self.zone ||
+        (!all_members && !is_urgent(peer.heartbeat)) ||
         !is_alive(state, name, now)) {
       continue;
     }
     Heartbeat heartbeat = peer.heartbeat;
+    heartbeat.loads.clear();
     heartbeat.daemon = known->second;
     heartbeat.has_full_record = with_full_records;
     heartbeat.key_load_reports.clear();
     heartbeat.view.reset();
     heartbeat.age = now - peer.received_at;
-    if (other_region) {
-      std::erase_if(heartbeat.loads, [&](const Heartbeat::Load& load) {
-        auto server = state.servers.find(load.server);
-        return server == state.servers.end() ||
-               !matters_to_other_regions(state, server->second);
-      });
-    }
     batch.heartbeats.push_back(std::move(heartbeat));
   }
   return batch;
 }
 
-void send_batch(State& state, bool other_region, TimePoint now,
-                Effects& effects) {
+void send_batch(State& state, bool other_region, bool all_members,
+                TimePoint now, Effects& effects) {
   std::vector<Endpoint> to = relay_addresses(state, other_region, now);
   if (to.empty()) return;
-  effects.emplace_back(
-      SendHeartbeatBatch{own_batch(state, other_region, now), std::move(to)});
+  effects.emplace_back(SendHeartbeatBatch{
+      own_batch(state, other_region, all_members, now), std::move(to)});
 }
 
 using KeyLoads = std::map<ShardKey, double>;
@@ -183,14 +189,26 @@
   return best->name;
 }
 
-bool is_zone_relay(const State& state, TimePoint now) {
-  const DaemonRecord& self = state.settings.self;
-  return zone_relay(state, self.zone, now) == self.name;
+const std::optional<DaemonName>& own_relay(State& state, TimePoint now) {
+  FleetState& fleet = state.fleet;
+  bool current = fleet.own_relay_at && fleet.own_relay &&
+                 now - *fleet.own_relay_at < config::kRelayCheckInterval &&
+                 may_relay(state, *fleet.own_relay, now);
+  if (!current) {
+    fleet.own_relay = zone_relay(state, state.settings.self.zone, now);
+    fleet.own_relay_at = now;
+  }
+  return fleet.own_relay;
 }
 
-std::vector<Endpoint> zone_members(const State& state) {
+bool is_zone_relay(State& state, TimePoint now) {
+  return own_relay(state, now) == state.settings.self.name;
+}
+
+const std::vector<Endpoint>& zone_members(State& state) {
+  if (state.fleet.zone_members) return *state.fleet.zone_members;
   const DaemonRecord& self = state.settings.self;
-  std::vector<Endpoint> to;
+  std::vector<Endpoint>& to = state.fleet.zone_members.emplace();
   for (const auto& [name, daemon] : state.fleet.daemon_records) {
     if (name != self.name && daemon.zone == self.zone) {
       to.push_back(daemon.peer);
@@ -207,45 +225,76 @@
 void on_heartbeat_batch(State& state, const HeartbeatBatchReceived& received,
                         TimePoint now, Effects& effects) {
   bool updated = false;
-  for (const Heartbeat& heartbeat : received.batch.heartbeats) {
-    updated = accept_heartbeat(state, heartbeat, now, effects) || updated;
+  for (std::size_t i = 0; i < received.batch.heartbeats.size(); ++i) {
+    bool accepted =
+        accept_heartbeat(state, received.batch.heartbeats[i], now, effects);
+    // An older batch of the same relay is out of date.
+    if (i == 0 && accepted) on_zone_loads(state, received.batch, now);
+    updated = accepted || updated;
   }
   if (!updated) return;
   if (received.batch.forward_within_zone) {
-    std::vector<Endpoint> to = zone_members(state);
+    const std::vector<Endpoint>& to = zone_members(state);
     if (!to.empty()) {
       HeartbeatBatch copy = received.batch;
       copy.forward_within_zone = false;
-      effects.emplace_back(SendHeartbeatBatch{std::move(copy), std::move(to)});
+      effects.emplace_back(SendHeartbeatBatch{std::move(copy), to});
     }
   }
-  retry_waiting(state, now, effects);
 }
 
 void send_batches(State& state, TimePoint now, Effects& effects) {
   FleetState& fleet = state.fleet;
-  bool own_region_due =
-      now - fleet.own_region_batch_at >= config::kOwnRegionBatchInterval;
+  Duration own_region_interval =
+      std::max(config::kOwnRegionBatchInterval,
+               load_change_interval(zone_members(state).size() + 1));
+  bool own_region_due = now - fleet.own_region_batch_at >= own_region_interval;
   bool other_region_due =
       now - fleet.other_region_batch_at >= config::kOtherRegionBatchInterval;
   if ((!own_region_due && !other_region_due) || !is_zone_relay(state, now))
     return;
   if (own_region_due) {
+    bool all_members =
+        now - fleet.own_region_members_at >= config::kZoneMembersInterval;
     fleet.own_region_batch_at = now;
-    send_batch(state, false, now, effects);
+    if (all_members) fleet.own_region_members_at = now;
+    send_batch(state, false, all_members, now, effects);
   }
   if (other_region_due) {
     fleet.other_region_batch_at = now;
-    send_batch(state, true, now, effects);
+    send_batch(state, true, true, now, effects);
   }
 }
 
+void send_map_change(State& state, MapChange change, TimePoint now,
+                     Effects& effects) {
+  change.forward_within_zone = false;
+  const std::vector<Endpoint>& members = zone_members(state);
+  if (!members.empty()) effects.emplace_back(SendMapChange{change, members});
+  std::vector<Endpoint> relays = relay_addresses(state, false, now);
+  std::vector<Endpoint> others = relay_addresses(state, true, now);
+  relays.insert(relays.end(), others.begin(), others.end());
+  if (relays.empty()) return;
+  change.forward_within_zone = true;
+  effects.emplace_back(SendMapChange{std::move(change), std::move(relays)});
+}
+
+void forward_map_change(State& state, const MapChange& change, TimePoint now,
+                        Effects& effects) {
+  if (!is_zone_relay(state, now)) return;
+  const std::vector<Endpoint>& members = zone_members(state);
+  if (members.empty()) return;
+  MapChange forwarded = change;
+  forwarded.forward_within_zone = false;
+  effects.emplace_back(SendMapChange{std::move(forwarded), members});
+}
+
 void send_key_loads(State& state, TimePoint now, Effects& effects) {
   if (now - state.fleet.key_loads_sent_at < config::kKeyLoadReportInterval)
     return;
   state.fleet.key_loads_sent_at = now;
   const DaemonRecord& self = state.settings.self;
-  auto relay = zone_relay(state, self.zone, now);
+  auto relay = own_relay(state, now);
   for (const auto& [service, map] : state.maps) {
     if (!map.map || map.coordinator_role) continue;
     auto to = state.fleet.daemon_records.find(map.map->coordinator);
--- a/src/fleet/zone_relay.h
+++ b/src/fleet/zone_relay.h
@@ -15,11 +15,13 @@
 /// Empty if none is alive.
 std::optional<DaemonName> zone_relay(const State& state, const ZoneName& zone,
                                      TimePoint now);
+/// The relay of the own zone, determined anew at most each kRelayCheckInterval.
+const std::optional<DaemonName>& own_relay(State& state, TimePoint now);
 /// Whether this daemon is the relay of its zone.
-bool is_zone_relay(const State& state, TimePoint now);
+bool is_zone_relay(State& state, TimePoint now);
 
 /// Addresses of the other daemons of the own zone.
-std::vector<Endpoint> zone_members(const State& state);
+const std::vector<Endpoint>& zone_members(State& state);
 
 /// Applies the heartbeats of another zone, and forwards them within the own
 /// zone if the batch asks for it.
@@ -28,6 +30,13 @@
 /// Sends the heartbeats of the own zone to other zones, if this daemon is its
 /// relay.
 void send_batches(State& state, TimePoint now, Effects& effects);
+/// Sends a change of a map to all daemons, to those of other zones by their
+/// relays.
+void send_map_change(State& state, MapChange change, TimePoint now,
+                     Effects& effects);
+/// Forwards a change within the own zone, if this daemon is its relay.
+void forward_map_change(State& state, const MapChange& change, TimePoint now,
+                        Effects& effects);
 /// Sends the key loads of each keyed service to its coordinator if this daemon
 /// is in the coordinator's zone or is its own zone's relay, else to the relay.
 void send_key_loads(State& state, TimePoint now, Effects& effects);
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -280,10 +280,7 @@
               broadcast(daemon, e.to, HeartbeatBatchReceived{e.batch});
             },
             [&](const SendMapChange& e) {
-              for (std::size_t i = 0; i < daemons_.size(); ++i) {
-                if (i != daemon)
-                  deliver(daemon, i, MapChangeReceived{e.change});
-              }
+              broadcast(daemon, e.to, MapChangeReceived{e.change});
             },
             [&](const WriteMap& e) {
               after(milliseconds(10), [this, daemon, incarnation, e] {
--- a/tests/zone_relay_test.cc
+++ b/tests/zone_relay_test.cc
@@ -68,7 +68,7 @@
   world.state(4).fleet.load_changed = true;
   world.run_for(milliseconds(400));
   const State& other = world.state(0);
-  EXPECT_EQ(load_at(other, other.servers.at(server), world.now()), 3u);
+  EXPECT_EQ(load_at(other, other.servers.at(server)), 3u);
 }
 
 TEST(ZoneRelay, KeyLoadsOfAllZonesReachTheCoordinatorOnce) {
@@ -95,6 +95,72 @@
   EXPECT_LE(reported, expected);
 }
 
+/// Load: requests at a server change all the time.
+TEST(ZoneRelay, HeartbeatsThatADaemonReceivesDoNotGrowWithItsZone) {
+  auto received_in_a_second = [](std::size_t daemons) {
+    FleetWorld world(daemons, 4, 1, 1);
+    world.run_for(seconds(8));
+    std::size_t before = world.datagrams;
+    for (int step = 0; step < 50; ++step) {
+      for (std::size_t i = 0; i < daemons; ++i)
+        world.state(i).fleet.load_changed = true;
+      world.run_for(config::kTickInterval);
+    }
+    return (world.datagrams - before) / daemons;
+  };
+  EXPECT_LT(received_in_a_second(24), 2 * received_in_a_second(8));
+}
+
+/// A coordinator sends its heartbeats to all daemons, and its relay reports its
+/// requests as well.
+TEST(ZoneRelay, RequestsReportedTwiceAreCountedOnce) {
+  FleetWorld world(9, 4, 1, 3);
+  world.run_for(seconds(8));
+  ServerName server = world.servers()[0].entry.name;
+  for (std::size_t i = 0; i < world.daemons(); ++i) {
+    world.state(i).servers.at(server).in_flight = 1;
+    world.state(i).fleet.load_changed = true;
+  }
+  world.run_for(seconds(2));
+  for (std::size_t i = 0; i < world.daemons(); ++i) {
+    const State& state = world.state(i);
+    EXPECT_EQ(load_at(state, state.servers.at(server)), 9u) << i;
+  }
+}
+
+TEST(ZoneRelay, RequestsOfLostDaemonsAreForgotten) {
+  FleetWorld world(9, 4, 1, 3);
+  world.run_for(seconds(8));
+  ServerName server = world.servers()[0].entry.name;
+  for (std::size_t i = 0; i < world.daemons(); ++i) {
+    world.state(i).servers.at(server).in_flight = 1;
+    world.state(i).fleet.load_changed = true;
+  }
+  world.run_for(seconds(2));
+  const State& state = world.state(0);
+  for (std::size_t i : {3, 6}) world.kill(i);  // Of the zone of the first one.
+  world.run_for(milliseconds(1300));
+  EXPECT_EQ(load_at(state, state.servers.at(server)), 7u);
+  for (std::size_t i : {1, 4, 7}) world.kill(i);  // A whole zone.
+  world.run_for(seconds(3));
+  EXPECT_EQ(load_at(state, state.servers.at(server)), 4u);
+}
+
+/// The coordinator sends a change once to each zone, whose relay forwards it.
+TEST(ZoneRelay, MapChangesReachEveryDaemon) {
+  FleetWorld world(12, 4, 1, 3);
+  world.run_for(seconds(8));
+  Version before = world.revision();
+  world.drain_server(0);
+  world.run_for(milliseconds(120));
+  ASSERT_NE(world.revision(), before);
+  world.run_for(milliseconds(80));
+  for (std::size_t i = 0; i < world.daemons(); ++i) {
+    EXPECT_EQ(world.state(i).maps.at(kBoard).revision, world.revision()) << i;
+    EXPECT_FALSE(world.state(i).maps.at(kBoard).behind_since) << i;
+  }
+}
+
 /// The relay of a zone is the daemon with most capacity.
 TEST(ZoneRelay, LargeMachinesRelay) {
   FleetWorld world(3, 4, 1, 1);
