Bring the lists of servers up to date once for all changes of a message

Change: the changes of a message are applied together; the lists are made anew once, and only if a server is added, removed or changes its service or zone.

--- a/src/fleet/loads.cc
+++ b/src/fleet/loads.cc
@@ -131,6 +131,7 @@
     }
   }
   std::vector<Heartbeat::Load> loads;
+  loads.reserve(sums.size());
   for (const auto& [server, in_flight] : sums)
     loads.push_back({server, in_flight});
   return loads;
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -191,6 +191,10 @@
 inline constexpr std::array<StoreView, 2> kStoreViews = {
     StoreView::kConfiguration, StoreView::kServers};
 
+/// An entry of the registry that was written, or the name of one that was
+/// removed.
+using ServerChange = std::variant<Server, ServerName>;
+
 /// Changes of one part of the store.
 struct StoreUpdate {
   StoreView view = StoreView::kServers;
@@ -200,9 +204,7 @@
   /// The newest configuration; null if it has not changed.
   std::shared_ptr<const Configuration> configuration;
   Version configuration_revision;
-  /// Entries written and names of entries removed, in the order of the
-  /// changes.
-  std::vector<std::variant<Server, ServerName>> servers;
+  std::vector<ServerChange> servers;  ///< In the order of the changes.
   /// Time since the sender reached the store again, if that was a moment ago:
   /// entries may have expired during the outage.
   std::optional<Duration> since_outage;
--- a/src/fleet/reduce.cc
+++ b/src/fleet/reduce.cc
@@ -82,9 +82,11 @@
           [&](const ServersListed& e) {
             on_servers_listed(state, e, now, effects);
           },
-          [&](const ServerSeen& e) { on_server(state, e, now, effects); },
+          [&](const ServerSeen& e) {
+            on_servers_changed(state, {e.server}, now, effects);
+          },
           [&](const ServerRemoved& e) {
-            on_server_removed(state, e, now, effects);
+            on_servers_changed(state, {e.name}, now, effects);
           },
           [&](const ViewListed& e) { on_view_listed(state, e, now); },
           [&](const StoreChanged& e) {
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -128,20 +128,23 @@
   retry_waiting(state, now, effects);
 }
 
-void on_server(State& state, const ServerSeen& seen, TimePoint now,
-               Effects& effects) {
-  if (update_server(state, seen.server, now, effects)) index_servers(state);
+void on_servers_changed(State& state, const std::vector<ServerChange>& changes,
+                        TimePoint now, Effects& effects) {
+  bool listed_anew = false;
+  for (const ServerChange& change : changes) {
+    if (const auto* server = std::get_if<Server>(&change)) {
+      listed_anew = update_server(state, *server, now, effects) || listed_anew;
+      continue;
+    }
+    auto found = state.servers.find(std::get<ServerName>(change));
+    if (found == state.servers.end()) continue;
+    remove_server(state, found->second, now, effects);
+    listed_anew = true;
+  }
+  if (listed_anew) index_servers(state);
   retry_waiting(state, now, effects);
 }
 
-void on_server_removed(State& state, const ServerRemoved& removed,
-                       TimePoint now, Effects& effects) {
-  auto found = state.servers.find(removed.name);
-  if (found == state.servers.end()) return;
-  remove_server(state, found->second, now, effects);
-  index_servers(state);
-}
-
 void expire_servers(State& state, TimePoint now, Effects& effects) {
   if (!state.servers_due || now < *state.servers_due) return;
   state.servers_due.reset();
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -8,10 +8,8 @@
 
 void on_servers_listed(State& state, const ServersListed& listed, TimePoint now,
                        Effects& effects);
-void on_server(State& state, const ServerSeen& seen, TimePoint now,
-               Effects& effects);
-void on_server_removed(State& state, const ServerRemoved& removed,
-                       TimePoint now, Effects& effects);
+void on_servers_changed(State& state, const std::vector<ServerChange>& changes,
+                        TimePoint now, Effects& effects);
 /// Marks entries that have not returned after an outage of the store as
 /// removed, and drops servers that were removed long ago.
 void expire_servers(State& state, TimePoint now, Effects& effects);
--- a/src/fleet/store_view.cc
+++ b/src/fleet/store_view.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "eelgrasspin/result.h"
 #include "fleet/log_event.h"
 #include "fleet/peers.h"
 #include "fleet/registry.h"
@@ -51,15 +50,8 @@
                         {update.configuration, update.configuration_revision},
                         now, effects);
   }
-  for (const auto& change : update.servers) {
-    std::visit(Overloaded{[&](const Server& server) {
-                            on_server(state, {server}, now, effects);
-                          },
-                          [&](const ServerName& name) {
-                            on_server_removed(state, {name}, now, effects);
-                          }},
-               change);
-  }
+  if (!update.servers.empty())
+    on_servers_changed(state, update.servers, now, effects);
 }
 
 bool has_no_changes(const StoreUpdate& update) {
--- a/tests/backend_pool_test.cc
+++ b/tests/backend_pool_test.cc
@@ -79,7 +79,8 @@
 /// answer if the path says so.
 class EndlessServer {
  public:
-  EndlessServer(boost::asio::io_context& io, std::string head, std::string part)
+  EndlessServer(boost::asio::io_context& io, std::string head,
+                const std::string& part)
       : acceptor_(io,
                   tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
         head_(std::move(head)) {
