--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -150,17 +150,24 @@
           "null"};
 }
 
+std::string joined(const std::vector<std::string>& parts) {
+  std::string text;
+  for (const std::string& part : parts) text += part;
+  return text;
+}
+std::string entry(const std::string& name, const std::string& spec) {
+  return joined(
+      {R"({"metadata":{"name":")", name, R"(","rev":4},"spec":)", spec, "}"});
+}
+
 TEST(PlatformObjects, OddEntryDoesNotHideTheOthers) {
-  std::string sound =
-      std::string(R"({"metadata":{"name":"i-1","rev":4},"spec":)") + kServer +
-      "}";
+  std::string sound = entry("i-1", kServer);
   for (const std::string& spec : odd_specs()) {
-    std::string odd =
-        R"({"metadata":{"name":"odd","rev":5},"spec":)" + spec + "}";
+    std::string odd = entry("odd", spec);
     std::string label = spec.substr(0, 120);
-    auto page = read_list(
-        io::ObjectKind::kServers,
-        R"({"items":[)" + odd + "," + sound + R"(],"hasMore":false,"asOf":9})");
+    auto page = read_list(io::ObjectKind::kServers,
+                          joined({R"({"items":[)", odd, ",", sound,
+                                  R"(],"hasMore":false,"asOf":9})"}));
     ASSERT_TRUE(ok(page)) << label << ": " << error(page).message;
     ASSERT_EQ(value(page).objects.size(), 2u) << label;
     EXPECT_EQ(value(page).objects[0].name, "odd") << label;
@@ -170,10 +177,11 @@
     EXPECT_TRUE(
         std::holds_alternative<fleet::Server>(value(page).objects[1].value))
         << label;
-    auto changes = read_changes(io::ObjectKind::kServers,
-                                R"({"events":[{"object":)" + odd +
-                                    R"(,"deleted":false},{"object":)" + sound +
-                                    R"(,"deleted":false}],"asOf":9})");
+    auto changes =
+        read_changes(io::ObjectKind::kServers,
+                     joined({R"({"events":[{"object":)", odd,
+                             R"(,"deleted":false},{"object":)", sound,
+                             R"(,"deleted":false}],"asOf":9})"}));
     ASSERT_TRUE(ok(changes)) << label;
     ASSERT_EQ(value(changes).objects.size(), 2u) << label;
     EXPECT_TRUE(
@@ -196,16 +204,14 @@
 }
 
 TEST(PlatformObjects, ObjectWithoutReadableMetadataDoesNotHideTheOthers) {
-  std::string sound =
-      std::string(R"({"metadata":{"name":"i-1","rev":4},"spec":)") + kServer +
-      "}";
+  std::string sound = entry("i-1", kServer);
   for (const char* odd :
        {"7", "{}", R"({"metadata":[]})", R"({"metadata":{"name":"odd"}})",
         R"({"metadata":{"name":3,"rev":1}})",
         R"({"metadata":{"name":"odd","rev":-1},"spec":{}})"}) {
     auto page = read_list(io::ObjectKind::kServers,
-                          std::string(R"({"items":[)") + odd + "," + sound +
-                              R"(],"hasMore":false,"asOf":9})");
+                          joined({R"({"items":[)", odd, ",", sound,
+                                  R"(],"hasMore":false,"asOf":9})"}));
     ASSERT_TRUE(ok(page)) << odd;
     ASSERT_EQ(value(page).objects.size(), 2u) << odd;
     EXPECT_TRUE(std::holds_alternative<io::UnreadableObject>(
