--- a/tests/server_notices_test.cc
+++ b/tests/server_notices_test.cc
@@ -116,6 +116,7 @@
   pass(seconds(5));
   request();
   EXPECT_EQ(sends_to("s1"), 1u);
+  ASSERT_FALSE(answers_.empty());
   EXPECT_EQ(answers_.back().status, 503);
 }
 
@@ -157,6 +158,7 @@
   EXPECT_EQ(std::get<Heartbeat>(value(decoded)).leaving_servers, expected);
   heartbeats_.clear();
   pass(seconds(3));
+  ASSERT_FALSE(heartbeats_.empty());
   EXPECT_TRUE(heartbeats_.back().leaving_servers.empty());
 }
 
@@ -178,19 +180,16 @@
 
 TEST_F(ServerNotices, QuietServerIsSentNothingUntilItsTimeIsOver) {
   list("s1", 1);
-  list("s2", 1);
   request();
-  std::string asked = sends_.back().server.str();
   answer(sends_.back(), 503, {false, seconds(2)});
   for (int i = 0; i < 5; ++i) {
     request();
-    answer(sends_.back(), 200, {});
     pass(milliseconds(300));
   }
-  EXPECT_EQ(sends_to(asked.c_str()), 1u);
+  EXPECT_EQ(sends_to("s1"), 1u);
   pass(milliseconds(600));
-  for (int i = 0; i < 4; ++i) request();
-  EXPECT_GT(sends_to(asked.c_str()), 1u);
+  request();
+  EXPECT_EQ(sends_to("s1"), 2u);
 }
 
 TEST_F(ServerNotices, CallersAreRefusedAtOnceWhileAllServersAskForQuiet) {
