--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -40,7 +40,7 @@
       kContextEvents.end()) {
     return true;
   }
-  bool is_server_event = event == "server" || event == "server_quiet" ||
+  bool is_server_event = event == "server" || event == "server_backoff" ||
                          event == "granted" || event == "released" ||
                          event == "order_failed";
   return is_server_event && servers.count(field_value(line, "server")) > 0;
--- a/src/fleet/answers.cc
+++ b/src/fleet/answers.cc
@@ -89,7 +89,7 @@
   log_refusal(state, request, reason, candidates, now, effects);
   Duration left = std::max(Duration(0), time_left(request, now));
   Duration retry_delay = retry_after(candidates, left);
-  if (auto end = quiet_end(state, request, now);
+  if (auto end = backoff_end(state, request, now);
       end && (request.key || candidates.empty())) {
     retry_delay = std::min(scaled(left, config::kMaxRetryAfterShare),
                            std::max(retry_delay, *end - now));
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -16,7 +16,8 @@
 /// Minimum time between two heartbeats to daemons of the own zone while the
 /// load changes.
 inline constexpr Duration kLoadChangeHeartbeatInterval = milliseconds(60);
-/// Lower bound of that time for each daemon of the zone.
+/// The same minimum time is at least this long for each daemon of the zone, so
+/// that the rate of heartbeats received in a zone is bounded.
 inline constexpr Duration kLoadChangeIntervalPerDaemon = milliseconds(6);
 /// Interval at which the loads of daemons that have timed out are dropped.
 inline constexpr Duration kLoadExpiryInterval = milliseconds(100);
@@ -222,10 +223,10 @@
 /// dropped first.
 inline constexpr std::size_t kMaxInterruptedRequests = 256;
 
-// What servers say about themselves.
-/// Longest time for which a server that asks for quiet is sent nothing; longer
-/// ones are taken for mistakes.
-inline constexpr Duration kMaxQuietTime = seconds(600);
+// Notices in the answers of servers.
+/// Longest Retry-After of a server that is observed; longer ones are taken for
+/// mistakes.
+inline constexpr Duration kMaxServerBackoff = seconds(600);
 /// Time for which heartbeats repeat that a server is leaving.
 inline constexpr Duration kLeavingReportTime = seconds(2);
 
--- a/src/fleet/dispatch.cc
+++ b/src/fleet/dispatch.cc
@@ -15,7 +15,7 @@
 /// Time that an answer takes to reach its caller.
 constexpr Duration kAnswerDeliveryTime = milliseconds(20);
 
-enum class Unavailable : std::uint8_t { kNoServer, kNoOwner, kFull, kQuiet };
+enum class Unavailable : std::uint8_t { kNoServer, kNoOwner, kFull, kBackoff };
 
 std::string_view reason_of(Unavailable why) {
   switch (why) {
@@ -25,8 +25,8 @@
       return "no_owner";
     case Unavailable::kFull:
       return "servers_full";
-    case Unavailable::kQuiet:
-      return "servers_quiet";
+    case Unavailable::kBackoff:
+      return "servers_in_backoff";
   }
   return "unknown";
 }
@@ -52,7 +52,7 @@
     return Unavailable::kNoOwner;
   }
   const ServerState& server = state.servers.at(range->owner.name);
-  if (now < server.quiet_until) return Unavailable::kQuiet;
+  if (now < server.backoff_until) return Unavailable::kBackoff;
   if (now < server.blocked_until) return Unavailable::kNoOwner;
   Candidate owner = candidate_of(state, server, now);
   owner.load -= std::min(owner.load, retrying_caller_allowance(request));
@@ -92,25 +92,18 @@
   std::vector<Candidate> candidates;
   // Servers further away are looked at only if no near one has a free slot, so
   // that the usual cost does not grow with the service.
-  for (Distance furthest : {Distance::kSameZone, Distance::kSameRegion}) {
-    usable =
-        add_candidates(state, request,
-                       listed->second.at(static_cast<std::size_t>(furthest)),
-                       now, candidates) ||
-        usable;
+  for (Distance distance :
+       {Distance::kSameZone, Distance::kSameRegion, Distance::kOtherRegion}) {
+    const auto& servers = listed->second.at(static_cast<std::size_t>(distance));
+    if (add_candidates(state, request, servers, now, candidates)) usable = true;
+    if (distance == Distance::kOtherRegion) break;
     auto near =
-        choose_nearby(candidates, furthest, objective, state.tie_breaker);
+        choose_nearby(candidates, distance, objective, state.tie_breaker);
     if (near) return candidates[*near].name;
   }
-  usable =
-      add_candidates(
-          state, request,
-          listed->second.at(static_cast<std::size_t>(Distance::kOtherRegion)),
-          now, candidates) ||
-      usable;
   if (candidates.empty()) {
-    return !usable && quiet_end(state, request, now) ? Unavailable::kQuiet
-                                                     : Unavailable::kNoServer;
+    return !usable && backoff_end(state, request, now) ? Unavailable::kBackoff
+                                                       : Unavailable::kNoServer;
   }
   auto chosen = choose(candidates, objective, state.tie_breaker);
   if (!chosen) return Unavailable::kFull;
@@ -178,13 +171,14 @@
   return candidates;
 }
 
-std::optional<TimePoint> quiet_end(const State& state,
-                                   const RequestState& request, TimePoint now) {
+std::optional<TimePoint> backoff_end(const State& state,
+                                     const RequestState& request,
+                                     TimePoint now) {
   std::optional<TimePoint> earliest;
   auto add = [&](const ServerState& server) {
-    if (!accepts_work(server) || now >= server.quiet_until) return;
+    if (!accepts_work(server) || now >= server.backoff_until) return;
     earliest =
-        std::min(earliest.value_or(server.quiet_until), server.quiet_until);
+        std::min(earliest.value_or(server.backoff_until), server.backoff_until);
   };
   if (request.key) {
     auto map = state.maps.find(request.service);
@@ -224,8 +218,8 @@
   // Waiting does not help if nothing is about to change.
   bool waiting_is_futile = why == Unavailable::kNoServer ||
                            (request.key && why == Unavailable::kFull);
-  if (why == Unavailable::kQuiet) {
-    auto end = quiet_end(state, request, now);
+  if (why == Unavailable::kBackoff) {
+    auto end = backoff_end(state, request, now);
     waiting_is_futile =
         end && *end > request.arrived_at + longest_wait(request);
   }
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -98,8 +98,9 @@
 /// What a server's answer says about the server itself.
 struct ServerNotice {
   bool leaving = false;  ///< The server is about to end.
-  /// The server wants no requests of this daemon for this long; 0: none asked.
-  Duration quiet_for{0};
+  /// Retry-After of a 503: time in which this daemon sends the server no
+  /// request. 0: none stated.
+  Duration retry_after{0};
 };
 enum class AttemptResult : std::uint8_t {
   kAnswered,    ///< A complete answer that belongs to the request.
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -20,17 +20,16 @@
   server.leaving_since = now;
 }
 
-/// Applies an entry. True if the lists of servers have to be brought up to
-/// date.
+/// Applies an entry. True if index_servers() has to be called.
 bool update_server(State& state, const Server& server, TimePoint now,
                    Effects& effects) {
   auto [found, added] = state.servers.try_emplace(server.name);
   ServerState& entry = found->second;
   bool restarted = !added && entry.server.incarnation != server.incarnation;
   bool was_leaving = entry.leaving;
-  bool listed_anew = added || entry.removed ||
-                     entry.server.service != server.service ||
-                     entry.server.zone != server.zone;
+  bool must_index = added || entry.removed ||
+                    entry.server.service != server.service ||
+                    entry.server.zone != server.zone;
   if (restarted) {
     if (!entry.leaving) {
       on_server_crash(state, incarnation_of(entry.server), now, effects);
@@ -60,7 +59,7 @@
          {"incarnation", text(server.incarnation.value)},
          {"change", added ? "added" : (restarted ? "restarted" : "state")}});
   }
-  return listed_anew;
+  return must_index;
 }
 
 void remove_server(State& state, ServerState& entry, TimePoint now,
@@ -130,18 +129,18 @@
 
 void on_servers_changed(State& state, const std::vector<ServerChange>& changes,
                         TimePoint now, Effects& effects) {
-  bool listed_anew = false;
+  bool must_index = false;
   for (const ServerChange& change : changes) {
     if (const auto* server = std::get_if<Server>(&change)) {
-      listed_anew = update_server(state, *server, now, effects) || listed_anew;
+      must_index = update_server(state, *server, now, effects) || must_index;
       continue;
     }
     auto found = state.servers.find(std::get<ServerName>(change));
     if (found == state.servers.end()) continue;
     remove_server(state, found->second, now, effects);
-    listed_anew = true;
+    must_index = true;
   }
-  if (listed_anew) index_servers(state);
+  if (must_index) index_servers(state);
   retry_waiting(state, now, effects);
 }
 
@@ -174,7 +173,7 @@
       changed = true;
       continue;
     }
-    // An outage that lasts on moves the time until which an entry may return.
+    // While the outage lasts, the time until which an entry may return moves.
     if (entry.may_return_until) look_again(now);
     if (entry.removed) {
       look_again(std::max(now + seconds(1),
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -14,7 +14,8 @@
 /// removed, and drops servers that were removed long ago.
 void expire_servers(State& state, TimePoint now, Effects& effects);
 
-/// Brings the lists of servers by service and by distance up to date.
+/// Builds State::by_service and State::by_distance from State::servers. Has to
+/// be called when a server is added, removed or changes its service or zone.
 void index_servers(State& state);
 /// Whether the store is unreachable, or was until kRegistryRecoveryTime ago:
 /// entries that expired in that time may return.
--- a/src/fleet/requests_p.h
+++ b/src/fleet/requests_p.h
@@ -50,18 +50,20 @@
 std::vector<Candidate> all_candidates(const State& state,
                                       const ServiceName& service,
                                       TimePoint now);
-/// When the first of the servers that could take the request, and have asked
-/// for quiet, may be sent requests again. Empty if none has.
-std::optional<TimePoint> quiet_end(const State& state,
-                                   const RequestState& request, TimePoint now);
+/// The earliest end of the Retry-After times of the servers that could take the
+/// request. Empty if no such time is running.
+std::optional<TimePoint> backoff_end(const State& state,
+                                     const RequestState& request,
+                                     TimePoint now);
 /// Time at which a request is ended here even if its server has not answered.
 TimePoint give_up_time(const RequestState& request);
 /// Sends the request if a server can take it now, else leaves it waiting or
 /// refuses it. May erase the request.
 void dispatch(State& state, RequestState& request, TimePoint now,
               Effects& effects);
-/// Does so for several requests in their order. Those that need the same server
-/// as one that found none with room wait on.
+/// Calls dispatch() for waiting requests in their order. Once a request has
+/// found every server of its service full, the later ones of that service are
+/// not tried.
 void dispatch_waiting(State& state, const std::vector<RequestId>& ids,
                       TimePoint now, Effects& effects);
 /// Sends a repeatable request again, to another server or on another connection
--- a/src/fleet/server_notices.cc
+++ b/src/fleet/server_notices.cc
@@ -38,16 +38,16 @@
                       Effects& effects) {
   if (notice.leaving) mark_leaving(state, server, "answer", now, effects);
   ServerState* entry = find_incarnation(state, server);
-  if (entry == nullptr || notice.quiet_for.count() <= 0) return;
-  Duration quiet_for = std::min(notice.quiet_for, config::kMaxQuietTime);
-  bool was_quiet = now < entry->quiet_until;
-  entry->quiet_until = std::max(entry->quiet_until, now + quiet_for);
-  if (was_quiet) return;
-  log_event(effects, "server_quiet",
+  if (entry == nullptr || notice.retry_after.count() <= 0) return;
+  Duration backoff = std::min(notice.retry_after, config::kMaxServerBackoff);
+  bool in_backoff = now < entry->backoff_until;
+  entry->backoff_until = std::max(entry->backoff_until, now + backoff);
+  if (in_backoff) return;
+  log_event(effects, "server_backoff",
             {{"server", server.name.str()},
              {"service", entry->server.service.str()},
-             {"for", text(quiet_for)},
-             {"asked", text(notice.quiet_for)}});
+             {"for", text(backoff)},
+             {"asked", text(notice.retry_after)}});
 }
 
 void on_leaving_reports(State& state,
@@ -75,7 +75,7 @@
 }
 
 bool accepts_requests(const ServerState& server, TimePoint now) {
-  return now >= server.blocked_until && now >= server.quiet_until;
+  return now >= server.blocked_until && now >= server.backoff_until;
 }
 
 }  // namespace eelgrasspin::fleet
--- a/src/fleet/server_notices.h
+++ b/src/fleet/server_notices.h
@@ -3,8 +3,8 @@
 
 #include "fleet/state.h"
 
-/// What backend servers say about themselves in their answers: that they are
-/// leaving, or that this daemon shall send them nothing for a time.
+/// What the answers of backend servers say about the servers: that one is
+/// leaving, or after which time it accepts requests of this daemon again.
 namespace eelgrasspin::fleet {
 
 /// Applies what an answer of this incarnation said. Ignored if the server has
@@ -12,7 +12,7 @@
 void on_server_notice(State& state, const ServerIncarnation& server,
                       const ServerNotice& notice, TimePoint now,
                       Effects& effects);
-/// Applies what other daemons have heard from leaving servers.
+/// Marks servers that have told other daemons that they are leaving.
 void on_leaving_reports(State& state,
                         const std::vector<ServerIncarnation>& servers,
                         TimePoint now, Effects& effects);
@@ -23,7 +23,7 @@
 void expire_leaving_reports(State& state, TimePoint now);
 
 /// Whether requests may be sent to the server now: no connection to it has just
-/// failed, and it has not asked this daemon for quiet.
+/// failed, and the time of its Retry-After is over.
 bool accepts_requests(const ServerState& server, TimePoint now);
 
 }  // namespace eelgrasspin::fleet
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -35,8 +35,8 @@
   TimePoint blocked_until;
   /// This incarnation has announced in an answer that it is leaving.
   bool announced_leaving = false;
-  /// The server has asked this daemon to send it nothing until then.
-  TimePoint quiet_until;
+  /// The server is sent no request until then, because of its Retry-After.
+  TimePoint backoff_until;
   double answer_count = 0;  ///< Decayed number of answers measured.
   TimePoint answer_count_at;
 };
@@ -77,8 +77,9 @@
   TimePoint key_loads_sent_at;
   TimePoint own_region_batch_at;
   TimePoint other_region_batch_at;
+  /// When the last batch that lists all daemons went to the own region.
   TimePoint own_region_members_at;
-  TimePoint loads_expired_at;
+  TimePoint loads_expired_at;  ///< Last run of expire_loads().
   /// The relay of the own zone, and when it was determined.
   std::optional<DaemonName> own_relay;
   std::optional<TimePoint> own_relay_at;
@@ -240,6 +241,9 @@
   std::optional<TimePoint> behind_since;
 };
 
+/// Servers of one service, by Distance to this daemon.
+using ServersByDistance = std::array<std::vector<const ServerState*>, 3>;
+
 /// Everything that a daemon's reducer knows. It is not copied, because
 /// `by_distance` points into it.
 struct State {
@@ -251,14 +255,14 @@
   TimePoint started;
   std::shared_ptr<const Configuration> configuration;
   std::map<ServerName, ServerState> servers;
-  /// When expire_servers() has to look at the servers next, if at all.
+  /// When expire_servers() has to go through `servers` next; empty if no entry
+  /// is about to expire.
   std::optional<TimePoint> servers_due;
   /// Servers that the registry lists, by service and in order of names.
   std::map<ServiceName, std::vector<ServerName>> by_service;
-  /// The same servers, by distance to this daemon. The pointers lead into
-  /// `servers`.
-  std::map<ServiceName, std::array<std::vector<const ServerState*>, 3>>
-      by_distance;
+  /// The same servers, by service and Distance. The pointers lead into
+  /// `servers`; see index_servers().
+  std::map<ServiceName, ServersByDistance> by_distance;
   FleetState fleet;
   std::map<ServiceName, MapState> maps;
   std::map<std::uint64_t, Order> orders;
--- a/tests/backend_pool_test.cc
+++ b/tests/backend_pool_test.cc
@@ -75,8 +75,8 @@
   std::list<Peer> peers_;
 };
 
-/// A server that answers each request with bytes without end, or with a short
-/// answer if the path says so.
+/// A server that answers a request for /short, and every other one with an
+/// endless response.
 class EndlessServer {
  public:
   EndlessServer(boost::asio::io_context& io, std::string head,
@@ -135,7 +135,7 @@
   std::string part_;
 };
 
-/// Calls that run at the same time, and what became of them.
+/// Calls that run at the same time, and counts of their results.
 struct ParallelCalls {
   ParallelCalls(boost::asio::io_context& context, BackendPool& calls)
       : io(context), pool(calls) {}
@@ -249,7 +249,7 @@
   EXPECT_EQ(pool_.connections_made(), 3u);
 }
 
-/// Bytes without end are no answer, whichever part of one they pretend to be.
+/// A response that never ends fails, whichever part of it is endless.
 TEST_F(BackendPoolTest, EndlessAnswersFail) {
   for (const EndlessCase& endless : kEndlessCases) {
     EndlessServer server(io_, endless.head, endless.part);
@@ -262,7 +262,8 @@
   }
 }
 
-/// Many at once share one limit, and do not keep short answers out.
+/// Several endless responses share one memory limit, and short responses are
+/// still read.
 TEST_F(BackendPoolTest, EndlessAnswersTogetherStayWithinTheLimit) {
   EndlessServer server(io_, "HTTP/1.1 200 OK\r\n\r\n", "x");
   ParallelCalls calls(io_, pool_);
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -340,21 +340,20 @@
                    .notice.leaving);
 }
 
-TEST(PlatformRequests, RetryAfterOfA503AsksForQuiet) {
-  auto quiet_for = [](int status, const char* retry_after) {
-    return server_notice(
-               {status, {{kRetryAfterHeader, retry_after}}, "", false})
-        .quiet_for;
+TEST(PlatformRequests, RetryAfterOfA503IsABackoff) {
+  auto retry_after = [](int status, const char* field) {
+    return server_notice({status, {{kRetryAfterHeader, field}}, "", false})
+        .retry_after;
   };
-  EXPECT_EQ(quiet_for(503, "2"), seconds(2));
-  EXPECT_EQ(quiet_for(503, "0.25"), milliseconds(250));
-  EXPECT_EQ(quiet_for(200, "2"), Duration(0));
+  EXPECT_EQ(retry_after(503, "2"), seconds(2));
+  EXPECT_EQ(retry_after(503, "0.25"), milliseconds(250));
+  EXPECT_EQ(retry_after(200, "2"), Duration(0));
   for (const char* unusable :
        {"0", "-3", "", "soon", "nan", "2 s", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
-    EXPECT_EQ(quiet_for(503, unusable), Duration(0)) << unusable;
+    EXPECT_EQ(retry_after(503, unusable), Duration(0)) << unusable;
   }
   for (const char* huge : {"1e300", "99999999999999999999", "inf"}) {
-    EXPECT_GE(quiet_for(503, huge), seconds(3600)) << huge;
+    EXPECT_GE(retry_after(503, huge), seconds(3600)) << huge;
   }
 }
 
--- a/tests/server_notices_test.cc
+++ b/tests/server_notices_test.cc
@@ -9,7 +9,7 @@
 #include "fleet/registry.h"
 #include "tests/fleet_world.h"
 
-/// Servers that announce that they are leaving, or ask for quiet.
+/// Servers that announce that they are leaving, or send a Retry-After.
 namespace eelgrasspin::fleet {
 namespace {
 
@@ -178,7 +178,7 @@
   EXPECT_EQ(sends_to("s2"), 4u);
 }
 
-TEST_F(ServerNotices, QuietServerIsSentNothingUntilItsTimeIsOver) {
+TEST_F(ServerNotices, ServerInBackoffIsSentNothingUntilItEnds) {
   list("s1", 1);
   request();
   answer(sends_.back(), 503, {false, seconds(2)});
@@ -192,20 +192,20 @@
   EXPECT_EQ(sends_to("s1"), 2u);
 }
 
-TEST_F(ServerNotices, CallersAreRefusedAtOnceWhileAllServersAskForQuiet) {
+TEST_F(ServerNotices, CallersAreRefusedAtOnceWhileAllServersAreInBackoff) {
   list("s1", 1);
   request();
   answer(sends_.back(), 503, {false, seconds(2)});
   ASSERT_EQ(answers_.size(), 1u);
   EXPECT_EQ(answers_[0].status, 503);
-  EXPECT_EQ(answers_[0].reason, "servers_quiet");
+  EXPECT_EQ(answers_[0].reason, "servers_in_backoff");
   EXPECT_GT(answers_[0].retry_after, milliseconds(500));
   request();
   EXPECT_EQ(answers_.size(), 2u);
   EXPECT_EQ(sends_.size(), 1u);
 }
 
-TEST_F(ServerNotices, ShortQuietIsWaitedFor) {
+TEST_F(ServerNotices, ShortBackoffIsWaitedFor) {
   list("s1", 1);
   request();
   answer(sends_.back(), 503, {false, milliseconds(100)});
@@ -216,22 +216,22 @@
   EXPECT_EQ(sends_.size(), 2u);
 }
 
-TEST_F(ServerNotices, AbsurdQuietTimeIsBounded) {
+TEST_F(ServerNotices, AbsurdBackoffIsBounded) {
   list("s1", 1);
   request();
   answer(sends_.back(), 503, {false, seconds(1'000'000)});
-  EXPECT_LE(state_.servers.at(ServerName("s1")).quiet_until,
-            now_ + config::kMaxQuietTime);
+  EXPECT_LE(state_.servers.at(ServerName("s1")).backoff_until,
+            now_ + config::kMaxServerBackoff);
 }
 
 /// Whatever answers, registry changes and restarts arrive in whatever order, no
 /// request goes to an incarnation that has announced that it is leaving, nor to
-/// one that has asked for quiet.
+/// one whose Retry-After is running.
 RC_GTEST_FIXTURE_PROP(ServerNotices, NoticesHoldInAnyInterleaving, ()) {
   struct Model {
     std::uint64_t incarnation = 1;
     bool leaving = false;
-    TimePoint quiet_until;
+    TimePoint backoff_until;
   };
   std::array<const char*, 3> names = {"s1", "s2", "s3"};
   std::map<std::string, Model> model;
@@ -245,7 +245,7 @@
     for (; checked < sends_.size(); ++checked) {
       const Model& server = model.at(sends_[checked].server.str());
       RC_ASSERT(!server.leaving);
-      RC_ASSERT(now_ >= server.quiet_until);
+      RC_ASSERT(now_ >= server.backoff_until);
       incarnation_at_send[sends_[checked].id.value] = server.incarnation;
     }
   };
@@ -287,10 +287,10 @@
         Model& from = model[send.server.str()];
         if (from.incarnation == incarnation_at_send[send.id.value]) {
           from.leaving = from.leaving || notice.leaving;
-          from.quiet_until =
-              std::max(from.quiet_until, now_ + notice.quiet_for);
+          from.backoff_until =
+              std::max(from.backoff_until, now_ + notice.retry_after);
         }
-        answer(send, notice.quiet_for.count() > 0 ? 503 : 200, notice);
+        answer(send, notice.retry_after.count() > 0 ? 503 : 200, notice);
       }
     }
     for (std::size_t i = before; i < sends_.size(); ++i)
