--- a/review/standin.hpp
+++ b/review/standin.hpp
@@ -530,8 +530,6 @@
         listener_(ip, [this](Stream& stream) { serve(stream); }) {}
 
   const std::string& id() const { return id_; }
-  /// Ends abruptly: connections break, and nothing more is answered.
-  void crash() { listener_.stop(); }
   /// A partition of which the other side answers with resets: open connections
   /// break and further ones are refused. The instance itself runs on.
   void cut_off() { listener_.stop(); }
@@ -545,7 +543,6 @@
   /// Address in the entry, if it is not the instance's own.
   std::string address;
   int port() const { return listener_.port(); }
-  std::atomic<int> running = 0;
   /// Sends one second copy of the answer to a grant, late: where the answer to
   /// a release is expected on the same connection.
   std::atomic<bool> sends_extra_answer = false;
@@ -673,7 +670,6 @@
         key == nullptr ? 0 : static_cast<std::uint32_t>(std::stoul(*key));
     record_.line("run id=" + *request_id + " instance=" + id_ +
                  (key == nullptr ? "" : " key=" + *key));
-    ++running;
     {
       std::lock_guard lock(mutex_);
       work_.insert(work_key);
@@ -684,7 +680,6 @@
       work_.erase(work_.find(work_key));
     }
     work_ended_.notify_all();
-    --running;
     headers.emplace_back("X-Eelgrasspin-Response-Stamp", "stamp-" + id_);
     return response(200, "body of " + *request_id, headers);
   }
