Review case 4: the odd entry names a loopback address

Cause: the address in the foreign entry was not a loopback address. No process ever connected to it, as the entry is not readable.

--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -10,7 +10,7 @@
 /// Valid JSON whose string has an escaped surrogate without its pair: bytes
 /// that are no text, as some writers of JSON print them.
 constexpr char kOddEntry[] =
-    R"({"addr":"10.1.0.9:8080","born":1768982855592,"info":{"service":"\udcff",)"
+    R"({"addr":"127.42.0.9:8080","born":1768982855592,"info":{"service":"\udcff",)"
     R"("version":"v1","zone":"z1","slots":2},"status":{"state":"ready","seq":1,)"
     R"("coldLeftS":0}})";
 
