--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -38,28 +38,6 @@
   return lease.pending_order;
 }
 
-void grant(State& state, const ServiceName& service, const KeyRange& range,
-           Lease& lease, TimePoint now, Effects& effects) {
-  const ServerState& server = state.servers.at(range.owner.name);
-  Duration hold = std::min(
-      lease.low_traffic ? config::kLowTrafficGrantHold : config::kGrantHold,
-      state.settings.hold_max);
-  std::uint64_t order = start_order(state, lease,
-                                    {service, false, range.owner, range.first,
-                                     range.last, range.epoch, now, hold});
-  effects.emplace_back(GrantKeys{order, range.owner.name, server.server.address,
-                                 range.first, range.last, range.epoch, hold,
-                                 lease.handover});
-  if (!lease.confirmed) {
-    log_event(effects, "grant",
-              {{"service", service.str()},
-               {"keys", keys_text(range.first, range.last)},
-               {"server", range.owner.name.str()},
-               {"epoch", text(range.epoch.value)},
-               {"handover", lease.handover.empty() ? "no" : "yes"}});
-  }
-}
-
 void release(State& state, const ServiceName& service, const KeyRange& range,
              Lease& lease, const ServerIncarnation& from,
              const Endpoint& address, TimePoint now, Effects& effects) {
@@ -101,17 +79,73 @@
                       });
 }
 
-/// Whether the holder can no longer hold keys of the range. A server that has
-/// released them refuses lower epochs, also in grants that arrive late.
-bool no_longer_holds(const State& state,
-                     const CoordinatorRole& coordinator_role,
-                     const KeyRange& range, const Lease& lease,
-                     const ServerIncarnation& holder, TimePoint now) {
+std::string_view name_of(ReleaseProof proof) {
+  switch (proof) {
+    case ReleaseProof::kAnswered:
+      return "released";
+    case ReleaseProof::kAddressReused:
+      return "address_reused";
+    case ReleaseProof::kConnectionRefused:
+      return "connection_refused";
+  }
+  return "unknown";
+}
+
+/// Why the holder can no longer hold keys of the range; empty if it still may.
+/// A server that has released them refuses lower epochs, also in grants that
+/// arrive late.
+std::optional<std::string_view> why_no_longer_holds(
+    const State& state, const CoordinatorRole& coordinator_role,
+    const KeyRange& range, const Lease& lease, const ServerIncarnation& holder,
+    TimePoint now) {
+  auto released = lease.released.find(holder);
+  if (released != lease.released.end()) return name_of(released->second);
   // A grant to an earlier incarnation may have reached the next one at the same
   // address, so the end of the holder does not prove that the keys are free.
-  return holder.name == range.owner.name ||
-         grants_expired(state, coordinator_role, range, holder, now) ||
-         lease.released.count(holder) > 0;
+  if (holder.name == range.owner.name) return "same_server";
+  if (grants_expired(state, coordinator_role, range, holder, now))
+    return "expired";
+  return std::nullopt;
+}
+
+/// The previous owners of the range and why each no longer holds its keys.
+std::string previous_owners_text(const State& state,
+                                 const CoordinatorRole& coordinator_role,
+                                 const KeyRange& range, const Lease& lease,
+                                 TimePoint now) {
+  std::string result;
+  for (const ServerIncarnation& holder : range.previous_owners) {
+    auto why =
+        why_no_longer_holds(state, coordinator_role, range, lease, holder, now);
+    if (!result.empty()) result += ",";
+    result += holder.name.str() + ":" + std::string(why.value_or("holds"));
+  }
+  return result.empty() ? "-" : result;
+}
+
+void grant(State& state, const ServiceName& service,
+           const CoordinatorRole& coordinator_role, const KeyRange& range,
+           Lease& lease, TimePoint now, Effects& effects) {
+  const ServerState& server = state.servers.at(range.owner.name);
+  Duration hold = std::min(
+      lease.low_traffic ? config::kLowTrafficGrantHold : config::kGrantHold,
+      state.settings.hold_max);
+  std::uint64_t order = start_order(state, lease,
+                                    {service, false, range.owner, range.first,
+                                     range.last, range.epoch, now, hold});
+  effects.emplace_back(GrantKeys{order, range.owner.name, server.server.address,
+                                 range.first, range.last, range.epoch, hold,
+                                 lease.handover});
+  if (!lease.confirmed) {
+    log_event(effects, "grant",
+              {{"service", service.str()},
+               {"keys", keys_text(range.first, range.last)},
+               {"server", range.owner.name.str()},
+               {"epoch", text(range.epoch.value)},
+               {"handover", lease.handover.empty() ? "no" : "yes"},
+               {"previous", previous_owners_text(state, coordinator_role, range,
+                                                 lease, now)}});
+  }
 }
 
 /// Sends releases to the previous owners that may hold the keys. True once none
@@ -122,7 +156,7 @@
                                   TimePoint now, Effects& effects) {
   bool all_free = true;
   for (const ServerIncarnation& holder : range.previous_owners) {
-    if (no_longer_holds(state, coordinator_role, range, lease, holder, now))
+    if (why_no_longer_holds(state, coordinator_role, range, lease, holder, now))
       continue;
     all_free = false;
     auto server = state.servers.find(holder.name);
@@ -152,7 +186,7 @@
   Duration interval = lease.low_traffic ? config::kLowTrafficRenewalInterval
                                         : config::kGrantRenewalInterval;
   if (lease.confirmed && now - lease.renewed_at < interval) return;
-  grant(state, service, range, lease, now, effects);
+  grant(state, service, coordinator_role, range, lease, now, effects);
 }
 
 Lease* lease_of(MapState& map, const Order& order) {
@@ -222,7 +256,7 @@
 
 void on_released(Lease& lease, const Order& order, const OrderEnded& ended,
                  TimePoint now, Effects& effects) {
-  lease.released.insert(order.server);
+  lease.released[order.server] = ReleaseProof::kAnswered;
   if (!ended.handover.empty()) lease.handover = ended.handover;
   log_event(effects, "released",
             {{"service", order.service.str()},
@@ -368,10 +402,11 @@
     lease->confirmed = false;
     lease->fenced = true;
     effects.emplace_back(ReadMap{order.service});
-  } else if (order.release && (ended.result == OrderResult::kOtherServer ||
-                               (ended.result == OrderResult::kNoListener &&
-                                is_unlisted(state, order.server)))) {
-    lease->released.insert(order.server);
+  } else if (order.release && ended.result == OrderResult::kOtherServer) {
+    lease->released[order.server] = ReleaseProof::kAddressReused;
+  } else if (order.release && ended.result == OrderResult::kNoListener &&
+             is_unlisted(state, order.server)) {
+    lease->released[order.server] = ReleaseProof::kConnectionRefused;
   }
   if (map.coordinator_role)
     send_due_orders(state, order.service, map, now, effects);
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -109,6 +109,13 @@
   std::deque<std::pair<TimePoint, ServerIncarnation>> leaving_reports;
 };
 
+/// How the coordinator knows that a previous owner has given up its keys.
+enum class ReleaseProof : std::uint8_t {
+  kAnswered,           ///< It has answered a release.
+  kAddressReused,      ///< Another server has its address.
+  kConnectionRefused,  ///< It is unlisted and refuses connections.
+};
+
 /// State of the grant for one key range, as its coordinator knows it.
 struct Lease {
   ServerIncarnation owner;
@@ -123,7 +130,7 @@
   TimePoint next_order_at;          ///< No order is sent before.
   std::string handover;  ///< From a previous owner, for the next grant.
   /// Previous owners that have released the keys.
-  std::set<ServerIncarnation> released;
+  std::map<ServerIncarnation, ReleaseProof> released;
 };
 
 /// Keys that a server may hold by a grant sent so far.
