--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -116,9 +116,12 @@
 inline constexpr Duration kOrderRetryDelay = milliseconds(150);
 /// Share of a grant's duration by which a server's clock may run slow.
 inline constexpr double kMaxClockLagShare = 0.02;
-/// Added to a grant's duration before the grant counts as expired, for delays
-/// of scheduling and delivery.
-inline constexpr Duration kHoldExpirySlack = milliseconds(400);
+/// Added to a grant's duration before the grant counts as expired: the server's
+/// timers fire late.
+inline constexpr Duration kHoldExpirySlack = milliseconds(100);
+/// Added to it if the grant was not answered, for delays of scheduling and
+/// delivery.
+inline constexpr Duration kOrderArrivalSlack = milliseconds(300);
 /// Time without an answer of the store after which a coordinator stops renewing
 /// grants.
 inline constexpr Duration kMaxRenewalWithoutStore = seconds(15);
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -136,7 +136,6 @@
   kFenced,       ///< The server has seen a higher epoch for one of the keys.
   kInvalid,      ///< The server rejects the order as invalid.
   kNotSent,      ///< No connection in time; nothing was sent.
-  kNoListener,   ///< The connection was refused; nothing was sent.
   kUnanswered,   ///< The order may have been carried out, or may be later.
 };
 struct OrderEnded {
--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -85,8 +85,6 @@
       return "released";
     case ReleaseProof::kAddressReused:
       return "address_reused";
-    case ReleaseProof::kConnectionRefused:
-      return "connection_refused";
   }
   return "unknown";
 }
@@ -197,18 +195,32 @@
   return lease.epoch == order.epoch ? &lease : nullptr;
 }
 
+/// Time from the arrival of a grant to its certain expiry at the server, whose
+/// clock may be slow.
+Duration expiry_after_arrival(Duration hold) {
+  return scaled(hold, 1.0 / (1.0 - config::kMaxClockLagShare)) +
+         config::kHoldExpirySlack;
+}
+
+/// The same from the end of an order that may arrive after it.
+Duration expiry_after_end(const Settings& settings, Duration hold) {
+  return expiry_after_arrival(hold) + settings.max_delivery_delay +
+         config::kOrderArrivalSlack;
+}
+
 /// The server has seen this term's epoch for these keys, so that orders of the
 /// coordinator before can no longer extend a grant.
 void shorten_inherited_grants(const Settings& settings,
                               CoordinatorRole& coordinator_role, Lease& lease,
                               const Order& order, TimePoint now) {
   if (!lease.from_earlier_term) return;
+  Duration hold = std::min(config::kLowTrafficGrantHold, settings.hold_max);
   for (PossibleGrant& possible : coordinator_role.possible_grants) {
     if (possible.owner != order.server || possible.first != order.first ||
         possible.last != order.last) {
       continue;
     }
-    possible.until = std::min(possible.until, now + longest_hold(settings));
+    possible.until = std::min(possible.until, now + expiry_after_arrival(hold));
   }
 }
 
@@ -234,7 +246,10 @@
   bool carried_out = result == OrderResult::kDone;
   bool unanswered = result == OrderResult::kUnanswered;
   if (!carried_out && !unanswered) return;
-  TimePoint until = now + expiry_delay(settings, order.hold);
+  // An answered grant has arrived before its answer.
+  TimePoint until =
+      now + (carried_out ? expiry_after_arrival(order.hold)
+                         : expiry_after_end(settings, order.hold));
   record_possible_grant(coordinator_role,
                         {order.first, order.last, order.server, until});
 }
@@ -266,22 +281,10 @@
              {"took", text(now - order.sent_at)}});
 }
 
-/// Whether the server is no longer in the registry. If it also refuses
-/// connections, its process has ended.
-bool is_unlisted(const State& state, const ServerIncarnation& holder) {
-  auto server = state.servers.find(holder.name);
-  return server != state.servers.end() && server->second.removed;
-}
-
 }  // namespace
 
-Duration expiry_delay(const Settings& settings, Duration hold) {
-  return scaled(hold, 1.0 + config::kMaxClockLagShare) +
-         settings.max_delivery_delay + config::kHoldExpirySlack;
-}
-
 Duration longest_hold(const Settings& settings) {
-  return expiry_delay(
+  return expiry_after_end(
       settings, std::min(config::kLowTrafficGrantHold, settings.hold_max));
 }
 
@@ -404,9 +407,6 @@
     effects.emplace_back(ReadMap{order.service});
   } else if (order.release && ended.result == OrderResult::kOtherServer) {
     lease->released[order.server] = ReleaseProof::kAddressReused;
-  } else if (order.release && ended.result == OrderResult::kNoListener &&
-             is_unlisted(state, order.server)) {
-    lease->released[order.server] = ReleaseProof::kConnectionRefused;
   }
   if (map.coordinator_role)
     send_due_orders(state, order.service, map, now, effects);
--- a/src/fleet/leases.h
+++ b/src/fleet/leases.h
@@ -15,9 +15,6 @@
 /// Records that a server may hold keys until the time given.
 void record_possible_grant(CoordinatorRole& coordinator_role,
                            const PossibleGrant& possible);
-/// Time from the end of an order to grant keys for `hold` until the grant has
-/// certainly expired at the server, whose clock may be slow.
-Duration expiry_delay(const Settings& settings, Duration hold);
 /// Whether the last connections to the server have failed: at least
 /// kServerUnreachableFailures of them, over at least kServerUnreachableTime,
 /// the last one less than kUnreachableServerExclusion ago.
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -111,9 +111,8 @@
 
 /// How the coordinator knows that a previous owner has given up its keys.
 enum class ReleaseProof : std::uint8_t {
-  kAnswered,           ///< It has answered a release.
-  kAddressReused,      ///< Another server has its address.
-  kConnectionRefused,  ///< It is unlisted and refuses connections.
+  kAnswered,       ///< It has answered a release.
+  kAddressReused,  ///< Another server has its address.
 };
 
 /// State of the grant for one key range, as its coordinator knows it.
--- a/tests/fleet_ownership_test.cc
+++ b/tests/fleet_ownership_test.cc
@@ -130,6 +130,49 @@
   }
 }
 
+/// Guards against granting the keys of a server again while it holds them: in a
+/// partition that answers with resets, a running server refuses connections and
+/// its entry expires, as if it had crashed.
+TEST(FleetOwnership, UnlistedServerThatRefusesConnectionsKeepsItsGrants) {
+  FleetWorld world(3, 4, 20);
+  world.run_for(seconds(10));
+  world.servers()[1].resets_connections = true;
+  world.run_for(milliseconds(2600));
+  world.unlist_server(1);
+  world.run_for(seconds(8));
+  EXPECT_TRUE(world.violations.empty()) << world.violations[0];
+  EXPECT_TRUE(world.all_held());
+}
+
+/// A crashed server's keys are served again within five seconds if they have
+/// traffic: its grants expire, and nothing is added for their delivery, since
+/// it has answered them.
+TEST(FleetOwnership, BusyKeysOfACrashedServerAreServedWithinFiveSeconds) {
+  for (bool refuses : {true, false}) {
+    FleetWorld world(3, 4, 21);
+    constexpr std::uint32_t kBusyKey = 16'500;
+    auto run_with_load = [&world](Duration duration) {
+      for (Duration done{0}; done < duration; done += milliseconds(20)) {
+        world.add_key_load(0, kBusyKey, 0.2);
+        world.run_for(milliseconds(20));
+      }
+    };
+    run_with_load(seconds(10));
+    ServerName owner =
+        find_range(*world.stored_map(), ShardKey(kBusyKey))->owner.name;
+    std::size_t index = 0;
+    while (world.servers()[index].entry.name != owner) ++index;
+    world.servers()[index].reachable = refuses;
+    world.end_server(index, false);
+    run_with_load(milliseconds(2600));
+    world.unlist_server(index);
+    run_with_load(milliseconds(2400));
+    const KeyRange* range = find_range(*world.stored_map(), ShardKey(kBusyKey));
+    EXPECT_NE(range->owner.name, owner) << refuses;
+    EXPECT_TRUE(range->previous_owners.empty()) << refuses;
+  }
+}
+
 /// A server has ended and its address belongs to another service: the address
 /// answers, but rejects orders for the keys.
 TEST(FleetOwnership, ReusedAddressProvesThatItsFormerServerEnded) {
@@ -352,6 +395,13 @@
     case 11:
       world.faults.grant_lost = 0.1 * (target % 6);
       break;
+    case 12:
+      world.servers()[server].resets_connections =
+          !world.servers()[server].resets_connections;
+      break;
+    case 13:
+      world.unlist_server(server);
+      break;
     default:
       break;
   }
@@ -360,7 +410,7 @@
 RC_GTEST_PROP(FleetOwnershipProperty, NoKeyIsHeldTwiceUnderDrawnFaults, ()) {
   auto seed = *rc::gen::inRange<std::uint32_t>(1, 1'000'000);
   auto kinds = *rc::gen::container<std::vector<std::uint32_t>>(
-      14, rc::gen::inRange<std::uint32_t>(0, 12));
+      14, rc::gen::inRange<std::uint32_t>(0, 14));
   auto targets = *rc::gen::container<std::vector<std::uint32_t>>(
       14, rc::gen::inRange<std::uint32_t>(0, 60));
   auto zones = *rc::gen::inRange<std::size_t>(1, 4);
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "eelgrasspin/result.h"
+#include "fleet/duration.h"
 #include "fleet/ownership.h"
 #include "fleet/reduce.h"
 
@@ -22,6 +23,8 @@
 inline const ServiceName kBoard{"board"};
 /// A service without keys; the world starts without servers of it.
 inline const ServiceName kUnkeyedService{"unkeyed"};
+/// Rate of a server's clock, by which it measures its holds.
+inline constexpr double kServerClockRate = 0.98;
 /// Distance of the keys that are checked for two owners.
 inline constexpr std::uint32_t kProbeStep = 512;
 
@@ -29,7 +32,8 @@
   Server entry;
   bool up = true;
   bool reachable = true;
-  bool readdressed = false;  ///< Ended; another service has its address.
+  bool resets_connections = false;  ///< Cut off; connections are refused.
+  bool readdressed = false;         ///< Ended; another service has its address.
   struct Hold {
     TimePoint until;
     Epoch highest_epoch;
@@ -437,12 +441,13 @@
 
   void carry_out(FakeServer& server, const GrantKeys& order,
                  TimePoint arrived) {
+    Duration held = scaled(order.hold, 1 / kServerClockRate);
     for (std::uint32_t key = 0; key <= kMaxShardKey; key += kProbeStep) {
       if (key < order.first.value || key > order.last.value) continue;
       FakeServer::Hold& hold = server.holds[key];
       // The platform's servers check the epoch also of late orders.
       if (hold.highest_epoch > order.epoch) continue;
-      hold.until = std::max(hold.until, arrived + order.hold);
+      hold.until = std::max(hold.until, arrived + held);
       hold.highest_epoch = std::max(hold.highest_epoch, order.epoch);
     }
   }
@@ -479,9 +484,10 @@
     after(milliseconds(2), [this, daemon, incarnation, order, index, target,
                             late, unanswered] {
       FakeServer& there = servers_[index];
-      if (!there.up || there.entry.incarnation != target) {
+      if (!there.up || there.resets_connections ||
+          there.entry.incarnation != target) {
         return post(daemon, incarnation,
-                    OrderEnded{order.order, OrderResult::kNoListener, "", ""});
+                    OrderEnded{order.order, OrderResult::kNotSent, "", ""});
       }
       TimePoint arrived = now_;
       if (late) {
@@ -523,11 +529,11 @@
     std::size_t index = static_cast<std::size_t>(server - servers_.data());
     after(milliseconds(2), [this, daemon, incarnation, order, index] {
       FakeServer& there = servers_[index];
-      if (!there.up) {
+      if (!there.up || there.resets_connections) {
         return post(daemon, incarnation,
                     OrderEnded{order.order,
                                there.readdressed ? OrderResult::kOtherServer
-                                                 : OrderResult::kNoListener,
+                                                 : OrderResult::kNotSent,
                                "", ""});
       }
       for (std::uint32_t key = 0; key <= kMaxShardKey; key += kProbeStep) {
