--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -98,14 +98,23 @@
            memory_used_ > config::kMinAnswerBytes;
   }
 
+  /// A connection that ends within an exchange is reset, which discards what
+  /// the server has not received yet. Otherwise the kernel would still deliver
+  /// the request, seconds later if the path is interrupted.
   void close_socket() {
+    error_code ignored;
+    if (phase_ != Phase::kSending) set_reset_on_close(false);
     phase_ = Phase::kClosed;
     set_memory_used(0);
-    error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
   }
 
+  void set_reset_on_close(bool on) {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(on, 0), ignored);
+  }
+
   void start_timer(Duration timeout) {
     timer_.expires_after(timeout);
     timer_.async_wait([self = shared_from_this()](error_code failed) {
@@ -145,6 +154,8 @@
     }
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    // Set in advance, so that the end of the process resets it as well.
+    set_reset_on_close(true);
     start_timer(std::chrono::duration_cast<Duration>(
         exchange_deadline_ - std::chrono::steady_clock::now()));
     send();
--- a/tests/key_orders_test.cc
+++ b/tests/key_orders_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <list>
 #include <optional>
 
 #include "io/http_server.h"
@@ -12,16 +13,102 @@
 namespace eelgrasspin::platform {
 namespace {
 
+using boost::asio::ip::tcp;
+using boost::system::error_code;
 using fleet::OrderResult;
 
 constexpr fleet::ShardKey kFirst(10);
 constexpr fleet::ShardKey kLast(20);
 
+/// A link to a server that can be cut. Bytes that are sent in a cut are
+/// delivered after it unless their sender has reset the connection, as by the
+/// retransmissions of TCP.
+class CutLink {
+ public:
+  CutLink(boost::asio::io_context& io, const Endpoint& server)
+      : io_(io),
+        server_(*io::parse_endpoint(server)),
+        acceptor_(
+            io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)) {
+    accept();
+  }
+  Endpoint endpoint() const {
+    return Endpoint("127.0.0.1:" +
+                    std::to_string(acceptor_.local_endpoint().port()));
+  }
+  void cut() { cut_ = true; }
+  void heal() {
+    cut_ = false;
+    for (Pair& pair : pairs_) {
+      if (pair.held_up) receive(pair, true);
+    }
+  }
+
+ private:
+  struct Pair {
+    Pair(tcp::socket accepted, boost::asio::io_context& io)
+        : client(std::move(accepted)), server(io) {}
+    tcp::socket client;
+    tcp::socket server;
+    std::array<char, 4096> from_client{};
+    std::array<char, 4096> from_server{};
+    bool held_up = false;
+  };
+
+  void accept() {
+    acceptor_.async_accept([this](error_code failed, tcp::socket socket) {
+      if (failed) return;
+      Pair& pair = pairs_.emplace_back(std::move(socket), io_);
+      pair.server.connect(server_);
+      receive(pair, true);
+      receive(pair, false);
+      accept();
+    });
+  }
+
+  void receive(Pair& pair, bool from_client) {
+    tcp::socket& from = from_client ? pair.client : pair.server;
+    from.async_wait(tcp::socket::wait_read,
+                    [this, &pair, from_client](error_code failed) {
+                      if (!failed) forward(pair, from_client);
+                    });
+  }
+
+  void forward(Pair& pair, bool from_client) {
+    if (cut_ && from_client) {
+      pair.held_up = true;
+      return;
+    }
+    tcp::socket& from = from_client ? pair.client : pair.server;
+    tcp::socket& to = from_client ? pair.server : pair.client;
+    int reset = 0;
+    socklen_t size = sizeof reset;
+    ::getsockopt(from.native_handle(), SOL_SOCKET, SO_ERROR, &reset, &size);
+    auto& buffer = from_client ? pair.from_client : pair.from_server;
+    error_code failed;
+    std::size_t count = from.read_some(boost::asio::buffer(buffer), failed);
+    error_code ignored;
+    if (reset != 0 || failed) {
+      to.close(ignored);
+      return;
+    }
+    boost::asio::write(to, boost::asio::buffer(buffer, count), ignored);
+    receive(pair, from_client);
+  }
+
+  boost::asio::io_context& io_;
+  tcp::endpoint server_;
+  tcp::acceptor acceptor_;
+  std::list<Pair> pairs_;
+  bool cut_ = false;
+};
+
 class KeyOrdersTest : public ::testing::Test {
  protected:
   KeyOrdersTest()
       : server_(io_, {},
                 [this](const std::shared_ptr<io::HttpExchange>& exchange) {
+                  ++received_;
                   exchange->answer(answer_);
                 }) {
     (void)server_.listen(kAnyPort);
@@ -36,8 +123,18 @@
     return ended.value_or(fleet::OrderEnded{});
   }
 
+  std::optional<fleet::OrderEnded> grant(const Endpoint& address) {
+    std::optional<fleet::OrderEnded> ended;
+    orders_.grant({1, ServerName("i-1"), address, kFirst, kLast, Epoch(1),
+                   seconds(4), ""},
+                  [&](fleet::OrderEnded result) { ended = result; });
+    run_until(io_, [&] { return ended.has_value(); });
+    return ended;
+  }
+
   boost::asio::io_context io_;
   io::HttpResponse answer_{200, {}, "{}"};
+  int received_ = 0;
   io::HttpServer server_;
   KeyOrdersClient orders_{io_};
 };
@@ -59,5 +156,24 @@
   EXPECT_EQ(result(200, {}), OrderResult::kDone);
 }
 
+/// Guards against orders that take effect after they were given up: bytes that
+/// a cut holds up would be delivered after it.
+TEST_F(KeyOrdersTest, GrantGivenUpDuringACutIsNotDeliveredAfterIt) {
+  CutLink link(io_, server_.bound_endpoint());
+  // The connection is kept, so that the grant in the cut is written at once.
+  auto granted = grant(link.endpoint());
+  ASSERT_TRUE(granted);
+  ASSERT_EQ(granted->result, OrderResult::kDone);
+  link.cut();
+  auto given_up = grant(link.endpoint());
+  ASSERT_TRUE(given_up);
+  EXPECT_EQ(given_up->result, OrderResult::kUnanswered);
+  link.heal();
+  run_for(io_, std::chrono::milliseconds(300));
+  EXPECT_EQ(received_, 1);
+  EXPECT_EQ(grant(link.endpoint())->result, OrderResult::kDone);
+  EXPECT_EQ(received_, 2);
+}
+
 }  // namespace
 }  // namespace eelgrasspin::platform
