--- a/tests/fleet_shell_test.cc
+++ b/tests/fleet_shell_test.cc
@@ -180,10 +180,12 @@
   store_.put(kServersKind, "i-0", R"({"addr":"10.0.0.1:70000"})");
   store_.put_text(kServersKind, "i-deep", deep);
   store_.put_text(kServersKind, "i-number", R"({"born":1e99999999999})");
+  store_.put_text(kServersKind, "i-surrogate", R"({"addr":"\udcff"})");
   start_and_wait();
   EXPECT_EQ(request("/r/x"), 200);
   ServerStandin second(io_, "i-2", false);
   store_.put_text(kServersKind, "i-deep", "[" + deep + "]");
+  store_.put_text(kServersKind, "i-surrogate", R"({"addr":"\ud800"})");
   store_.remove(kServersKind, "i-1");
   server_.crash();
   store_.put(kServersKind, "i-2", second.entry("book", "ready"));
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -191,6 +191,57 @@
   }
 }
 
+/// Values that writers of JSON print and its parsers reject.
+const char* const kUnparsableValues[] = {R"("\udcff")",
+                                         R"("\ud800\ud800")",
+                                         R"("a\ud83d")",
+                                         R"("\x41")",
+                                         R"("\u12g4")",
+                                         "\"\x01\"",
+                                         "\"\xff\"",
+                                         "\"\xed\xb3\xbf\"",
+                                         "NaN",
+                                         "Infinity",
+                                         "-Infinity",
+                                         "01",
+                                         "1.",
+                                         "+1",
+                                         "0x1f",
+                                         "undefined",
+                                         R"("\ud83d\n\"]},")",
+                                         "-",
+                                         "1e",
+                                         "True"};
+
+/// Guards against losing the list of servers to one value that cannot be
+/// parsed, wherever in an entry it is.
+TEST(PlatformObjects, UnparsableValueHidesItsOwnEntryOnly) {
+  std::string sound = entry("i-1", kServer);
+  for (const char* odd : kUnparsableValues) {
+    std::string in_service = kServer;
+    std::size_t at = in_service.find("\"service\":") + 10;
+    in_service.replace(at, in_service.find(',', at) - at, odd);
+    std::string as_name = joined(
+        {R"({"metadata":{"name":)", odd, R"(,"rev":4},"spec":)", kServer, "}"});
+    std::string as_key = entry("odd", joined({"{", odd, ":1}"}));
+    for (const std::string& entry_text :
+         {entry("odd", in_service), entry("odd", odd), as_name, as_key}) {
+      if (entry_text == as_key && odd[0] != '"') continue;
+      auto page = read_list(io::ObjectKind::kServers,
+                            joined({R"({"items":[)", entry_text, ",", sound,
+                                    R"(],"hasMore":false,"asOf":9})"}));
+      ASSERT_TRUE(ok(page)) << entry_text << ": " << error(page).message;
+      ASSERT_EQ(value(page).objects.size(), 2u) << entry_text;
+      EXPECT_FALSE(
+          std::holds_alternative<fleet::Server>(value(page).objects[0].value))
+          << entry_text;
+      EXPECT_TRUE(
+          std::holds_alternative<fleet::Server>(value(page).objects[1].value))
+          << entry_text;
+    }
+  }
+}
+
 TEST(PlatformObjects, UnknownFieldOfAnyDepthIsIgnored) {
   std::string spec = kServer;
   spec.insert(1, R"("more":)" + nested(5000) + ",");
@@ -220,6 +271,29 @@
   }
 }
 
+/// An entry with arbitrary bytes in a string does not hide the others.
+RC_GTEST_PROP(PlatformObjects, ArbitraryStringHidesItsOwnEntryOnly,
+              (const std::string& bytes, bool escape)) {
+  std::string quoted;
+  for (char c : bytes) {
+    if (c == '"') quoted += '\\';
+    quoted += c;
+    if (c == '\\') quoted += escape ? "udcff" : "\\";
+  }
+  std::string spec = kServer;
+  std::size_t at = spec.find("\"service\":\"") + 11;
+  spec.insert(at, quoted);
+  auto page = read_list(
+      io::ObjectKind::kServers,
+      joined({R"({"items":[)", entry("odd", spec), ",", entry("i-1", kServer),
+              R"(],"hasMore":false,"asOf":9})"}));
+  RC_ASSERT(ok(page));
+  RC_ASSERT(value(page).objects.size() == 2u);
+  RC_ASSERT(value(page).objects[0].name == "odd");
+  RC_ASSERT(
+      std::holds_alternative<fleet::Server>(value(page).objects[1].value));
+}
+
 /// Values that are too deep are dropped, whatever strings contain.
 RC_GTEST_PROP(PlatformObjects, BracketsInStringsAreNotNesting,
               (const std::string& text)) {
