Count with every coordinator that may still renew grants, not only the last one (OWNER)

Fault: a coordinator that is cut off from the store and its peers renews the grants of a server that only it reaches for up to 15 s. If its successor ends as well, the third coordinator waited for the grants of the second one only. Change: the map lists the coordinators of earlier terms that are not known to have stopped (replaced_coordinators, also in map changes); a takeover adds the last one, the coordinator drops those that name a newer term, have started again, or after 15 s. Why it works: the list survives any number of takeovers, as the map does. A coordinator that resumes after a pause no longer counts itself among its predecessors, so that it waits less than before.

--- a/src/codec/fleet_json.cc
+++ b/src/codec/fleet_json.cc
@@ -230,6 +230,32 @@
   return ranges;
 }
 
+/// Earlier versions do not write the list.
+std::vector<fleet::DaemonIncarnation> replaced_coordinators_of(
+    const json::object& object) {
+  std::vector<fleet::DaemonIncarnation> coordinators;
+  const json::value* list = object.if_contains("replaced");
+  if (list == nullptr) return coordinators;
+  for (const json::value& value : list->as_array()) {
+    const json::array& parts = value.as_array();
+    coordinators.push_back(
+        {DaemonName(view_of(parts.at(0))), Incarnation(number(parts.at(1)))});
+  }
+  return coordinators;
+}
+
+void add_replaced_coordinators(
+    const std::vector<fleet::DaemonIncarnation>& coordinators,
+    json::object& object) {
+  if (coordinators.empty()) return;
+  json::array list;
+  for (const fleet::DaemonIncarnation& coordinator : coordinators) {
+    list.push_back(
+        json::array{coordinator.name.str(), coordinator.incarnation.value});
+  }
+  object["replaced"] = std::move(list);
+}
+
 fleet::MapChange change_of(const json::object& object) {
   fleet::MapChange change;
   change.service = ServiceName(text_of(object, "map"));
@@ -240,6 +266,7 @@
       Incarnation(number(object.at("coordinator_incarnation")));
   change.term = TermEpoch(number(object.at("term")));
   change.last_epoch = Epoch(number(object.at("next_epoch")));
+  change.replaced_coordinators = replaced_coordinators_of(object);
   change.forward_within_zone = object.if_contains("relay") != nullptr;
   for (const json::value& value : object.at("ranges").as_array()) {
     change.ranges.push_back(range_of(value));
@@ -273,6 +300,7 @@
     map.ranges.push_back(range_of(value));
   }
   check_ranges(map.ranges);
+  map.replaced_coordinators = replaced_coordinators_of(object);
   return map;
 }
 
@@ -370,6 +398,7 @@
       {"term", change.term.value},
       {"next_epoch", change.last_epoch.value},
       {"ranges", ranges_array(change.ranges)}};
+  add_replaced_coordinators(change.replaced_coordinators, object);
   if (change.forward_within_zone) object["relay"] = true;
   return json::serialize(object);
 }
@@ -391,13 +420,15 @@
 }
 
 std::string encode_owner_map(const fleet::OwnerMap& map) {
-  return json::serialize(json::object{
+  json::object object = {
       {"service", map.service.str()},
       {"coordinator", map.coordinator.str()},
       {"coordinator_incarnation", map.coordinator_incarnation.value},
       {"term", map.term.value},
       {"next_epoch", map.last_epoch.value},
-      {"ranges", ranges_array(map.ranges)}});
+      {"ranges", ranges_array(map.ranges)}};
+  add_replaced_coordinators(map.replaced_coordinators, object);
+  return json::serialize(object);
 }
 
 Result<fleet::OwnerMap> decode_owner_map(std::string_view text) {
--- a/src/fleet/election.cc
+++ b/src/fleet/election.cc
@@ -77,10 +77,14 @@
          map.coordinator_incarnation == self.incarnation;
 }
 
-bool coordinator_ended(const State& state, const OwnerMap& map) {
-  auto known = state.fleet.daemon_records.find(map.coordinator);
+bool has_ended(const State& state, const DaemonIncarnation& daemon) {
+  auto known = state.fleet.daemon_records.find(daemon.name);
   return known != state.fleet.daemon_records.end() &&
-         known->second.incarnation != map.coordinator_incarnation;
+         known->second.incarnation != daemon.incarnation;
+}
+
+DaemonIncarnation coordinator_of(const OwnerMap& map) {
+  return {map.coordinator, map.coordinator_incarnation};
 }
 
 bool should_take_over(const State& state, const ServiceName& service,
@@ -93,7 +97,7 @@
   if (!map.map) return map.absent && is_first_candidate(state, service, now);
   if (coordinates(state, *map.map)) return false;
   if (coordinator_is_working(state, *map.map, now)) return false;
-  bool ended = coordinator_ended(state, *map.map);
+  bool ended = has_ended(state, coordinator_of(*map.map));
   auto peer = state.fleet.peers.find(map.map->coordinator);
   bool known_unfit = ended || (peer != state.fleet.peers.end() &&
                                is_alive(state, map.map->coordinator, now));
--- a/src/fleet/election.h
+++ b/src/fleet/election.h
@@ -11,8 +11,9 @@
 /// Whether this daemon should write itself into the map as coordinator.
 bool should_take_over(const State& state, const ServiceName& service,
                       const MapState& map, TimePoint now);
-/// Whether the coordinator process named in the map is known to have ended.
-bool coordinator_ended(const State& state, const OwnerMap& map);
+/// Whether another process is known to run in place of the daemon's.
+bool has_ended(const State& state, const DaemonIncarnation& daemon);
+DaemonIncarnation coordinator_of(const OwnerMap& map);
 /// Whether the map names this daemon as its coordinator.
 bool coordinates(const State& state, const OwnerMap& map);
 
--- a/src/fleet/model.cc
+++ b/src/fleet/model.cc
@@ -40,6 +40,7 @@
                    after.term,
                    after.last_epoch,
                    {},
+                   after.replaced_coordinators,
                    false};
   for (const KeyRange& range : after.ranges) {
     const KeyRange* old = find_range(before, range.first);
@@ -55,6 +56,7 @@
   next.coordinator_incarnation = change.coordinator_incarnation;
   next.term = change.term;
   next.last_epoch = change.last_epoch;
+  next.replaced_coordinators = change.replaced_coordinators;
   std::erase_if(next.ranges, [&](const KeyRange& range) {
     return std::any_of(
         change.ranges.begin(), change.ranges.end(),
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -84,6 +84,13 @@
   auto operator<=>(const ServerIncarnation&) const = default;
 };
 
+/// A daemon between one start and its end.
+struct DaemonIncarnation {
+  DaemonName name;
+  Incarnation incarnation;
+  auto operator<=>(const DaemonIncarnation&) const = default;
+};
+
 /// Keys `first` to `last`, both inclusive, and who owns them.
 struct KeyRange {
   ShardKey first;
@@ -104,6 +111,8 @@
   TermEpoch term;       ///< Increases with each change of the coordinator.
   Epoch last_epoch{1};  ///< The highest epoch used so far.
   std::vector<KeyRange> ranges;  ///< Sorted, without gaps; cover all keys.
+  /// Coordinators of earlier terms that may still renew grants.
+  std::vector<DaemonIncarnation> replaced_coordinators;
   bool operator==(const OwnerMap&) const = default;
 };
 
@@ -254,6 +263,7 @@
   Epoch last_epoch{1};
   /// Changed ranges; they replace the ranges that they overlap.
   std::vector<KeyRange> ranges;
+  std::vector<DaemonIncarnation> replaced_coordinators;  ///< As in the map.
   /// Set if a relay that receives it has to forward it to its zone.
   bool forward_within_zone = false;
 };
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -36,11 +36,11 @@
 
 /// Until when servers may hold keys by grants of earlier coordinators if they
 /// do not learn of the new epoch.
-TimePoint earlier_grants_end(const State& state, const OwnerMap& before,
+TimePoint earlier_grants_end(const State& state,
+                             const std::vector<DaemonIncarnation>& predecessors,
                              TimePoint now) {
-  Duration renewing = coordinator_ended(state, before)
-                          ? Duration(0)
-                          : config::kMaxRenewalWithoutStore;
+  Duration renewing =
+      predecessors.empty() ? Duration(0) : config::kMaxRenewalWithoutStore;
   return now + renewing + longest_hold(state.settings);
 }
 
@@ -48,13 +48,15 @@
                             const std::optional<OwnerMap>& before,
                             TimePoint now, Effects& effects) {
   map.coordinator_role.emplace();
+  map.coordinator_role->started_at = now;
   map.coordinator_role->last_placement = now;
   if (before) {
-    TimePoint end = earlier_grants_end(state, *before, now);
-    if (!coordinator_ended(state, *before)) {
-      map.coordinator_role->predecessor.emplace(
-          before->coordinator, before->coordinator_incarnation);
-    }
+    auto& predecessors = map.coordinator_role->predecessors;
+    predecessors = map.map->replaced_coordinators;
+    std::erase_if(predecessors, [&state](const DaemonIncarnation& daemon) {
+      return has_ended(state, daemon);
+    });
+    TimePoint end = earlier_grants_end(state, predecessors, now);
     for (const KeyRange& range : before->ranges) {
       // Orders of an earlier term have lower epochs. A server that has answered
       // an order of this term refuses them, also if they arrive late.
@@ -266,18 +268,24 @@
 
 namespace {
 
-/// Once the coordinator before knows of this term, or has ended, it sends no
-/// more orders, and those already sent expire within the longest hold.
+/// A coordinator of an earlier term that knows of this one, or has ended, sends
+/// no more orders. Once all have, those already sent expire within the longest
+/// hold.
 void end_predecessor(const State& state, MapState& map,
                      const Heartbeat& heartbeat, TermEpoch known_term,
                      TimePoint now) {
-  auto& predecessor = map.coordinator_role->predecessor;
-  if (!predecessor || predecessor->first != heartbeat.daemon.name) return;
-  bool ended = heartbeat.daemon.incarnation != predecessor->second;
+  CoordinatorRole& role = *map.coordinator_role;
+  auto found = std::find_if(role.predecessors.begin(), role.predecessors.end(),
+                            [&heartbeat](const DaemonIncarnation& daemon) {
+                              return daemon.name == heartbeat.daemon.name;
+                            });
+  if (found == role.predecessors.end()) return;
+  bool ended = heartbeat.daemon.incarnation != found->incarnation;
   if (!ended && known_term < map.map->term) return;
-  predecessor.reset();
+  role.predecessors.erase(found);
+  if (!role.predecessors.empty()) return;
   TimePoint end = now + longest_hold(state.settings);
-  for (PossibleGrant& grant : map.coordinator_role->possible_grants) {
+  for (PossibleGrant& grant : role.possible_grants) {
     grant.until = std::min(grant.until, end);
   }
 }
--- a/src/fleet/replan.cc
+++ b/src/fleet/replan.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "fleet/election.h"
 #include "fleet/learning.h"
 #include "fleet/leases.h"
 #include "fleet/log_event.h"
@@ -161,6 +162,16 @@
   return changed;
 }
 
+/// Drops the coordinators of earlier terms that have stopped sending orders.
+bool drop_ended_predecessors(MapState& map, OwnerMap& next, TimePoint now) {
+  CoordinatorRole& role = *map.coordinator_role;
+  if (now - role.started_at >= config::kMaxRenewalWithoutStore)
+    role.predecessors.clear();
+  if (next.replaced_coordinators == role.predecessors) return false;
+  next.replaced_coordinators = role.predecessors;
+  return true;
+}
+
 /// Assigns a new epoch to ranges whose owner has refused the current one as too
 /// low.
 bool raise_fenced_epochs(const MapState& map, OwnerMap& next) {
@@ -319,6 +330,11 @@
   next.last_epoch = map.last_epoch.next();
   for (KeyRange& range : next.ranges) range.epoch = next.last_epoch;
   join_neighbours(next.ranges);
+  auto& replaced = next.replaced_coordinators;
+  replaced.push_back(coordinator_of(map));
+  std::erase_if(replaced, [&](const DaemonIncarnation& daemon) {
+    return daemon == coordinator_of(next) || has_ended(state, daemon);
+  });
   return next;
 }
 
@@ -326,6 +342,7 @@
                                MapState& map, TimePoint now, Effects& effects) {
   OwnerMap next = *map.map;
   bool changed = finish_completed_moves(map, next);
+  changed = drop_ended_predecessors(map, next, now) || changed;
   changed = raise_fenced_epochs(map, next) || changed;
   changed = reassign_lost_ranges(state, service, next, now, effects) || changed;
   changed = rebalance(state, service, map, next, now, effects) || changed;
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -165,8 +165,10 @@
   std::map<ShardKey, Lease> leases;  ///< By first key of the range.
   std::vector<PossibleGrant> possible_grants;
   std::map<ServerIncarnation, OrderHealth> health;
-  /// The coordinator before, until it is known to send no more orders.
-  std::optional<std::pair<DaemonName, Incarnation>> predecessor;
+  /// Coordinators of earlier terms that are not known to have stopped sending
+  /// orders.
+  std::vector<DaemonIncarnation> predecessors;
+  TimePoint started_at;
   TimePoint last_placement;  ///< Time of the last placement round.
   /// When keys last moved, by first key of the range.
   std::map<ShardKey, TimePoint> last_moves;
--- a/tests/fleet_ownership_test.cc
+++ b/tests/fleet_ownership_test.cc
@@ -203,6 +203,43 @@
   EXPECT_TRUE(world.violations.empty());
 }
 
+/// Guards against forgetting a coordinator that was replaced two terms ago: it
+/// is cut off from the store and the other daemons, and goes on renewing the
+/// grants of a server that the others cannot reach.
+TEST(FleetOwnership, GrantsOfACoordinatorBeforeTheLastAreWaitedFor) {
+  FleetWorld world(4, 4, 22);
+  world.run_for(seconds(10));
+  auto first = world.coordinator();
+  ASSERT_TRUE(first);
+  world.cut_from_store.insert(*first);
+  for (std::size_t i = 0; i < world.daemons(); ++i) {
+    if (i == *first) continue;
+    world.cut_links.insert({*first, i});
+    world.cut_from_servers.insert({i, 1});
+  }
+  auto replacement = [&]() -> std::optional<std::size_t> {
+    for (std::size_t i = 0; i < world.daemons(); ++i) {
+      if (i != *first && world.running(i) &&
+          world.state(i).maps[kBoard].coordinator_role) {
+        return i;
+      }
+    }
+    return std::nullopt;
+  };
+  world.run_for(seconds(4));
+  auto second = replacement();
+  ASSERT_TRUE(second);
+  world.kill(*second);
+  world.run_for(milliseconds(500));
+  world.start(*second);
+  for (int i = 0; i < 300; ++i) {
+    world.run_for(milliseconds(100));
+    ASSERT_TRUE(world.violations.empty())
+        << world.violations[0] << " after " << i * 100 << " ms";
+  }
+  EXPECT_TRUE(replacement());
+}
+
 /// Guard: a restarted server holds no keys and is granted them at a higher
 /// epoch.
 TEST(FleetOwnership, RestartedServerIsGrantedItsKeysAgain) {
@@ -402,6 +439,12 @@
     case 13:
       world.unlist_server(server);
       break;
+    case 14: {
+      std::pair<std::size_t, std::size_t> pair(daemon, server);
+      if (!world.cut_from_servers.insert(pair).second)
+        world.cut_from_servers.erase(pair);
+      break;
+    }
     default:
       break;
   }
@@ -410,7 +453,7 @@
 RC_GTEST_PROP(FleetOwnershipProperty, NoKeyIsHeldTwiceUnderDrawnFaults, ()) {
   auto seed = *rc::gen::inRange<std::uint32_t>(1, 1'000'000);
   auto kinds = *rc::gen::container<std::vector<std::uint32_t>>(
-      14, rc::gen::inRange<std::uint32_t>(0, 14));
+      14, rc::gen::inRange<std::uint32_t>(0, 15));
   auto targets = *rc::gen::container<std::vector<std::uint32_t>>(
       14, rc::gen::inRange<std::uint32_t>(0, 60));
   auto zones = *rc::gen::inRange<std::size_t>(1, 4);
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -89,6 +89,8 @@
   /// Pairs of daemons that receive no messages of each other.
   std::set<std::pair<std::size_t, std::size_t>> cut_links;
   std::set<std::size_t> cut_from_store;
+  /// Pairs of a daemon and a server that it cannot reach.
+  std::set<std::pair<std::size_t, std::size_t>> cut_from_servers;
   /// A line for each time that two servers held a key at once.
   std::vector<std::string> violations;
   /// Called when a daemon sends a request to a server.
@@ -432,6 +434,11 @@
     return strikes;
   }
 
+  bool reaches(std::size_t daemon, const FakeServer& server) const {
+    auto index = static_cast<std::size_t>(&server - servers_.data());
+    return server.reachable && cut_from_servers.count({daemon, index}) == 0;
+  }
+
   FakeServer* server_at(const Endpoint& address) {
     for (FakeServer& server : servers_) {
       if (server.entry.address == address) return &server;
@@ -469,7 +476,7 @@
       post(daemon, incarnation,
            OrderEnded{order.order, OrderResult::kUnanswered, "", "silent"});
     };
-    if (server != nullptr && !server->reachable) {
+    if (server != nullptr && !reaches(daemon, *server)) {
       return after(milliseconds(500), [this, daemon, incarnation, order] {
         post(daemon, incarnation,
              OrderEnded{order.order, OrderResult::kNotSent, "", "no path"});
@@ -514,7 +521,7 @@
   void send_release(std::size_t daemon, std::uint64_t incarnation,
                     const ReleaseKeys& order) {
     FakeServer* server = server_at(order.address);
-    if (server != nullptr && !server->reachable) {
+    if (server != nullptr && !reaches(daemon, *server)) {
       return after(milliseconds(500), [this, daemon, incarnation, order] {
         post(daemon, incarnation,
              OrderEnded{order.order, OrderResult::kNotSent, "", "no path"});
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -534,6 +534,16 @@
   auto decoded = codec::decode_owner_map(codec::encode_owner_map(map));
   ASSERT_TRUE(ok(decoded));
   EXPECT_TRUE(value(decoded) == map);
+  map.replaced_coordinators = {{DaemonName("d1"), Incarnation(4)},
+                               {DaemonName("d2"), Incarnation(5)}};
+  decoded = codec::decode_owner_map(codec::encode_owner_map(map));
+  ASSERT_TRUE(ok(decoded));
+  EXPECT_TRUE(value(decoded) == map);
+  auto change = codec::decode_datagram(codec::encode_map_change(
+      fleet::change_between(map, Version(1), map, Version(2))));
+  ASSERT_TRUE(ok(change));
+  EXPECT_EQ(std::get<fleet::MapChange>(value(change)).replaced_coordinators,
+            map.replaced_coordinators);
   map.ranges[1].first = fleet::ShardKey(101);
   EXPECT_FALSE(ok(codec::decode_owner_map(codec::encode_owner_map(map))));
 }
