Look up grants by the server's name, as its incarnations share an address (OWNER)

Fault: a server starts again under its name while the coordinator has lost the store; renewals meant for the earlier incarnation are accepted by the new one. Its successor knew no grant to that incarnation and took its keys at once when it became unreachable. Change: grant_pending(), grants_expired() and shorten_inherited_grants() compare names. Why it works: an order reaches whichever incarnation has the address; what any of them may hold is waited for.

--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -57,15 +57,16 @@
 /// Whether a grant to the holder for some of these keys has no answer yet.
 bool grant_pending(const State& state, const KeyRange& range,
                    const ServerIncarnation& holder) {
-  return std::any_of(state.orders.begin(), state.orders.end(),
-                     [&](const auto& item) {
-                       const Order& order = item.second;
-                       return !order.release && order.server == holder &&
-                              overlaps(range, order);
-                     });
+  return std::any_of(
+      state.orders.begin(), state.orders.end(), [&](const auto& item) {
+        const Order& order = item.second;
+        return !order.release && order.server.name == holder.name &&
+               overlaps(range, order);
+      });
 }
 
-/// Whether every grant to the holder for these keys has expired.
+/// Whether every grant to the holder for these keys has expired. Those to its
+/// earlier incarnations count, as they may have reached this one.
 bool grants_expired(const State& state, const CoordinatorRole& coordinator_role,
                     const KeyRange& range, const ServerIncarnation& holder,
                     TimePoint now) {
@@ -73,7 +74,7 @@
          std::none_of(coordinator_role.possible_grants.begin(),
                       coordinator_role.possible_grants.end(),
                       [&](const PossibleGrant& possible) {
-                        return possible.owner == holder &&
+                        return possible.owner.name == holder.name &&
                                possible.until > now &&
                                overlaps(range, possible);
                       });
@@ -216,8 +217,8 @@
   if (!lease.from_earlier_term) return;
   Duration hold = std::min(config::kLowTrafficGrantHold, settings.hold_max);
   for (PossibleGrant& possible : coordinator_role.possible_grants) {
-    if (possible.owner != order.server || possible.first != order.first ||
-        possible.last != order.last) {
+    if (possible.owner.name != order.server.name ||
+        possible.first != order.first || possible.last != order.last) {
       continue;
     }
     possible.until = std::min(possible.until, now + expiry_after_arrival(hold));
--- a/tests/fleet_ownership_test.cc
+++ b/tests/fleet_ownership_test.cc
@@ -240,6 +240,27 @@
   EXPECT_TRUE(replacement());
 }
 
+/// Guards against overlooking grants that were sent to an earlier incarnation
+/// and have reached the next one: here by a coordinator that is cut off from
+/// the store and does not know of the restart.
+TEST(FleetOwnership, GrantsToAnEarlierIncarnationAreWaitedFor) {
+  FleetWorld world(4, 4, 23);
+  world.run_for(seconds(10));
+  auto first = world.coordinator();
+  ASSERT_TRUE(first);
+  world.cut_from_store.insert(*first);
+  world.run_for(milliseconds(200));
+  world.restart_server(2);
+  world.run_for(milliseconds(1800));
+  world.kill(*first);
+  world.servers()[2].reachable = false;
+  for (int i = 0; i < 200; ++i) {
+    world.run_for(milliseconds(100));
+    ASSERT_TRUE(world.violations.empty())
+        << world.violations[0] << " after " << i * 100 << " ms";
+  }
+}
+
 /// Guard: a restarted server holds no keys and is granted them at a higher
 /// epoch.
 TEST(FleetOwnership, RestartedServerIsGrantedItsKeysAgain) {
