--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -209,7 +209,7 @@
     }
   }
 
-  void expect_request() {
+  void start_parser() {
     receiving_ = false;
     parser_.emplace();
     parser_->header_limit(
@@ -217,6 +217,10 @@
     parser_->body_limit(server_->options.max_body_bytes);
     parser_->eager(true);
     head_checked_ = false;
+  }
+
+  void expect_request() {
+    start_parser();
     if (buffer_.size() > 0 && may_parse()) return parse();
     if (exchanges_.empty()) start_timer(server_->options.idle_timeout);
     read_more();
@@ -324,6 +328,8 @@
     if (closed_) return;
     // Continues reading: the next request, or the end of the connection.
     if (!stop_parsing_ && !pipeline_full()) return expect_request();
+    // The next request may arrive when the pipeline has room again.
+    start_parser();
     if (buffer_.size() < buffer_.max_size()) read_more();
   }
 
--- a/tests/pipeline_test.cc
+++ b/tests/pipeline_test.cc
@@ -71,6 +71,37 @@
   EXPECT_LT(text.find("first"), text.find("second"));
 }
 
+/// Guards against a 400 to the request that arrives after the limit of
+/// concurrent requests was reached, in parts of any size and in every round.
+TEST_F(Pipeline, RequestAfterAFullPipelineIsHandled) {
+  const std::string request =
+      "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+  constexpr std::size_t kLimit = 16;
+  for (std::size_t open : {kLimit - 1, kLimit, kLimit + 1}) {
+    for (std::size_t part : {std::size_t{7}, request.size()}) {
+      exchanges_.clear();
+      for (std::size_t i = 0; i < open; ++i) send(request);
+      run_until([&] { return exchanges_.size() == std::min(open, kLimit); });
+      std::size_t answered = 0;
+      auto answer_next = [&] {
+        exchanges_[answered++]->answer({200, {}, "ok"});
+        EXPECT_TRUE(received("ok").starts_with("HTTP/1.1 200"));
+      };
+      answer_next();
+      for (std::size_t at = 0; at < request.size(); at += part) {
+        send(request.substr(at, part));
+        io_.run_for(std::chrono::milliseconds(1));
+        io_.restart();
+      }
+      while (answered <= open) {
+        run_until([&] { return exchanges_.size() > answered; });
+        EXPECT_EQ(exchanges_[answered]->request().body, "body");
+        answer_next();
+      }
+    }
+  }
+}
+
 TEST_F(Pipeline, PendingResponsesAreSentBeforeTheConnectionCloses) {
   send(kFirst + kSecond);
   run_until([&] { return exchanges_.size() == 2; });
