--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -99,6 +99,7 @@
   Busy busy = call.on_new_connection
                   ? new_connection(call.address)
                   : take_connection(call.address, call.repeatable);
+  busy.last_exchange = call.last_on_connection;
   busy_[number] = busy;
   busy.connection->exchange_checked(
       call.request, call.timeout, std::move(call.matches_request),
@@ -124,7 +125,7 @@
     // The other idle connections may be stalled as well.
     for (const Idle& idle : idle_connections) idle.connection->close();
     idle_connections.clear();
-  } else if (connection->idle() &&
+  } else if (connection->idle() && !busy.last_exchange &&
              idle_connections.size() < kMaxIdlePerServer) {
     idle_connections.push_back(
         {std::move(connection), keep_alive_of(*response)});
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -23,6 +23,8 @@
     bool repeatable = false;
     HttpResponseCheck matches_request;
     bool on_new_connection = false;
+    /// The connection is closed after this exchange.
+    bool last_on_connection = false;
   };
 
   explicit BackendPool(boost::asio::io_context& io);
@@ -48,6 +50,7 @@
   struct Busy {
     std::shared_ptr<HttpConnection> connection;
     Duration idle_time{0};  ///< Before this call; 0 for a new connection.
+    bool last_exchange = false;
   };
   Busy new_connection(const Endpoint& address);
   Busy take_connection(const Endpoint& address, bool repeatable);
