--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -168,7 +168,7 @@
   /// Coordinators of earlier terms that are not known to have stopped sending
   /// orders.
   std::vector<DaemonIncarnation> predecessors;
-  TimePoint started_at;  ///< When this daemon took the role.
+  TimePoint started_at;      ///< When this daemon took the role.
   TimePoint last_placement;  ///< Time of the last placement round.
   /// When keys last moved, by first key of the range.
   std::map<ShardKey, TimePoint> last_moves;
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -49,7 +49,7 @@
   };
   struct Busy {
     std::shared_ptr<HttpConnection> connection;
-    Duration idle_time{0};  ///< Before this call; 0 for a new connection.
+    Duration idle_time{0};       ///< Before this call; 0 for a new connection.
     bool last_exchange = false;  ///< The connection is closed after it.
   };
   Busy new_connection(const Endpoint& address);
