Soak: servers that refuse, hang or reset when full, refuse early or twice, lose answers

Servers of the at-most-once service now have a capacity. For a while a server refuses every second request, closes the connection in place of every second answer, hangs or resets when it is full; its link repeats refusals when the next request arrives (every other copy without the request's id), or refuses a request before its body is complete and keeps the connection. Callers send more at-most-once requests, a quarter of them with a body of 100 KB, and some with a key. Refusals of the stand-in name their request, as the users' pages say.

--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -242,6 +242,13 @@
   TimePoint at;
 };
 
+/// What a server does with a request that it has no room for.
+enum class FullPolicy : std::uint8_t {
+  kRefuse,  ///< States that it did not run.
+  kHang,    ///< Never answers it, nor any later one on its connection.
+  kReset,   ///< Closes the connection.
+};
+
 /// A backend server that works on each request for `work` and holds keys under
 /// grants.
 class ServerStandin {
@@ -268,6 +275,13 @@
   Endpoint endpoint() const { return endpoint_; }
   Endpoint address;
   Duration work{0};
+  /// Requests that it works on at the same time; 0: any number.
+  std::size_t capacity = 0;
+  FullPolicy when_full = FullPolicy::kRefuse;
+  /// Refuses every n-th request; 0: none.
+  std::uint32_t refuse_every = 0;
+  /// Closes the connection in place of every n-th answer; 0: none.
+  std::uint32_t lose_answer_every = 0;
   /// Ids of the requests that ran.
   std::vector<std::string> ran;
   std::function<void(const ServerRun&)> on_run;
@@ -302,8 +316,17 @@
     std::uint64_t epoch = 0;
     TimePoint until;
   };
+  /// A request that the server works on.
+  struct Run {
+    std::shared_ptr<io::HttpExchange> exchange;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<std::size_t> running;  ///< Of the incarnation.
+    bool ended = false;
+  };
 
   void listen() {
+    running_ = std::make_shared<std::size_t>(0);
+    hung_.clear();
     server_ = std::make_unique<io::HttpServer>(
         io_, io::HttpServerOptions{},
         [this](const std::shared_ptr<io::HttpExchange>& exchange) {
@@ -348,26 +371,71 @@
     bool misdirected =
         expected == nullptr || *expected != name_ ||
         (keyed_ && (!key || !holds(static_cast<std::uint32_t>(*key))));
-    if (misdirected || id == nullptr) {
-      return exchange->answer({421, {{kNotRunHeader, "1"}}, ""});
+    if (misdirected || id == nullptr) return refuse(*exchange, 421);
+    ++requests_;
+    if (refuse_every != 0 && requests_ % refuse_every == 0) {
+      return refuse(*exchange, 503);
     }
+    if (capacity != 0 && *running_ >= capacity) return reject(exchange);
     ran.push_back(*id);
     if (on_run) {
       on_run({*id, name_,
               keyed_ ? std::optional<std::uint32_t>(*key) : std::nullopt,
               io::steady_now()});
     }
-    io::HttpResponse answer = {
-        200,
-        {{kRequestIdHeader, *id}, {kResponseStampHeader, "stamp-" + name_}},
-        "body of " + *id + " " + request.body};
-    if (work.count() == 0) return exchange->answer(std::move(answer));
-    auto timer = std::make_shared<boost::asio::steady_timer>(io_);
-    timer->expires_after(work);
-    timer->async_wait(
-        [exchange, timer, answer](boost::system::error_code failed) {
-          if (!failed) exchange->answer(answer);
-        });
+    if (work.count() == 0) return finish(exchange);
+    auto run = std::make_shared<Run>(
+        Run{exchange, boost::asio::steady_timer(io_), running_});
+    ++*run->running;
+    // A request ends with its connection.
+    exchange->on_abandoned([run] {
+      run->timer.cancel();
+      end(*run);
+    });
+    run->timer.expires_after(work);
+    run->timer.async_wait([this, run](boost::system::error_code failed) {
+      if (failed || run->ended) return;
+      end(*run);
+      finish(run->exchange);
+    });
+  }
+
+  static void end(Run& run) {
+    if (std::exchange(run.ended, true)) return;
+    --*run.running;
+  }
+
+  void finish(const std::shared_ptr<io::HttpExchange>& exchange) {
+    ++answers_;
+    if (lose_answer_every != 0 && answers_ % lose_answer_every == 0) {
+      return exchange->abort();
+    }
+    const io::HttpRequest& request = exchange->request();
+    const std::string* id = io::find_header(request.headers, kRequestIdHeader);
+    exchange->answer(
+        {200,
+         {{kRequestIdHeader, *id}, {kResponseStampHeader, "stamp-" + name_}},
+         "body of " + *id + " " + request.body});
+  }
+
+  /// States that the request did not run.
+  static void refuse(io::HttpExchange& exchange, int status) {
+    io::HeaderFields headers = {{kNotRunHeader, "1"}};
+    const std::string* id =
+        io::find_header(exchange.request().headers, kRequestIdHeader);
+    if (id != nullptr) headers.emplace_back(kRequestIdHeader, *id);
+    exchange.answer({status, std::move(headers), ""});
+  }
+
+  void reject(const std::shared_ptr<io::HttpExchange>& exchange) {
+    switch (when_full) {
+      case FullPolicy::kRefuse:
+        return refuse(*exchange, 503);
+      case FullPolicy::kHang:
+        return hung_.push_back(exchange);
+      case FullPolicy::kReset:
+        return exchange->abort();
+    }
   }
 
   boost::asio::io_context& io_;
@@ -375,6 +443,10 @@
   bool keyed_;
   std::uint64_t born_ = 1'768'982'855'592;
   std::vector<Key> keys_;
+  std::shared_ptr<std::size_t> running_;
+  std::vector<std::shared_ptr<io::HttpExchange>> hung_;
+  std::uint32_t requests_ = 0;
+  std::uint32_t answers_ = 0;
   Endpoint endpoint_;
   std::unique_ptr<io::HttpServer> server_;
 };
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -10,7 +10,16 @@
 /// A daemon must still answer requests that were sent less than this time after
 /// it was ordered to stop.
 constexpr Duration kMustAnswerAfterStop = seconds(3);
+/// Pause of a caller whose request was refused.
+constexpr Duration kRefusedDelay = milliseconds(150);
 constexpr std::size_t kKeyedCallersPerDaemon = 3;
+/// In a large fleet fewer callers are enough to fill the servers.
+constexpr std::size_t kLargeFleet = 10;
+constexpr std::size_t kAtMostOnceCallersPerDaemon = 5;
+constexpr std::size_t kAtMostOnceCallersInLargeFleet = 2;
+/// One at-most-once request in this many has a body too large for one segment.
+constexpr std::uint64_t kLargeBodyInterval = 4;
+constexpr std::size_t kLargeBodyBytes = 100'000;
 
 char kind_letter(Callers::Kind kind) {
   switch (kind) {
@@ -18,6 +27,8 @@
       return 'k';
     case Callers::Kind::kAtMostOnce:
       return 'o';
+    case Callers::Kind::kKeyedAtMostOnce:
+      return 'w';
     case Callers::Kind::kVersion:
       return 'v';
   }
@@ -29,9 +40,12 @@
 Callers::Callers(Fleet& fleet, std::uint32_t seed)
     : fleet_(fleet), random_(seed) {
   for (Daemon& daemon : fleet.daemons()) {
+    std::size_t at_most_once = fleet.daemons().size() > kLargeFleet
+                                   ? kAtMostOnceCallersInLargeFleet
+                                   : kAtMostOnceCallersPerDaemon;
     std::vector<Kind> kinds(kKeyedCallersPerDaemon, Kind::kKeyed);
-    kinds.insert(kinds.end(),
-                 {Kind::kAtMostOnce, Kind::kAtMostOnce, Kind::kVersion});
+    kinds.insert(kinds.end(), at_most_once, Kind::kAtMostOnce);
+    kinds.insert(kinds.end(), {Kind::kKeyedAtMostOnce, Kind::kVersion});
     for (Kind kind : kinds) {
       callers_.push_back(std::make_unique<Caller>(fleet.io(), daemon, kind));
       schedule_request(*callers_.back(), kRequestDelay);
@@ -62,16 +76,24 @@
   }
   std::string id = caller.daemon.name + "-" + kind_letter(caller.kind) +
                    std::to_string(++sent_);
-  bool at_most_once = caller.kind == Kind::kAtMostOnce;
+  bool keyed =
+      caller.kind == Kind::kKeyed || caller.kind == Kind::kKeyedAtMostOnce;
+  bool at_most_once =
+      caller.kind == Kind::kAtMostOnce || caller.kind == Kind::kKeyedAtMostOnce;
+  std::string body;
+  if (at_most_once) {
+    bool large = sent_ % kLargeBodyInterval == 0;
+    body = large ? std::string(kLargeBodyBytes, 'x') : "text";
+  }
   io::HttpRequest request = {
       at_most_once ? "POST" : "GET",
       std::string("/") + kind_letter(caller.kind) + "/x",
       {{"Host", "h"},
        {platform::kRequestIdHeader, id},
        {platform::kDeadlineMsHeader, std::to_string(to_ms(kRequestDeadline))}},
-      at_most_once ? "text" : "",
+      body,
       {}};
-  if (caller.kind == Kind::kKeyed) {
+  if (keyed) {
     request.headers.emplace_back(
         platform::kShardKeyHeader,
         std::to_string(
@@ -80,13 +102,15 @@
   fleet_.guarantees().request_sent(id, !at_most_once);
   caller.connection->exchange(
       request, kRequestDeadline + seconds(1),
-      [this, &caller, id, incarnation = caller.daemon.start_count,
+      [this, &caller, id, expected_body = "body of " + id + " " + body,
+       incarnation = caller.daemon.start_count,
        sent = io::steady_now()](const io::HttpResult& result) {
-        request_ended(caller, id, incarnation, sent, result);
+        request_ended(caller, id, expected_body, incarnation, sent, result);
       });
 }
 
 void Callers::request_ended(Caller& caller, const std::string& id,
+                            const std::string& expected_body,
                             std::uint64_t incarnation, TimePoint sent,
                             const io::HttpResult& result) {
   const Daemon& daemon = caller.daemon;
@@ -94,10 +118,8 @@
     const std::string* stamp =
         io::find_header(answer->headers, platform::kResponseStampHeader);
     std::string server = stamp == nullptr ? "" : stamp->substr(6);
-    std::string body =
-        "body of " + id + (caller.kind == Kind::kAtMostOnce ? " text" : " ");
     fleet_.guarantees().response_received(id, answer->status, server,
-                                          answer->body == body);
+                                          answer->body == expected_body);
     if (answer->status == 200) {
       ++caller.served;
       if (caller.kind == Kind::kVersion && daemon.start_count == incarnation) {
@@ -105,7 +127,8 @@
             daemon, static_cast<std::size_t>(std::stoul(server.substr(9))));
       }
     }
-    return schedule_request(caller, kRequestDelay);
+    return schedule_request(
+        caller, answer->status == 503 ? kRefusedDelay : kRequestDelay);
   }
   const auto& failure = std::get<io::HttpFailure>(result);
   bool closed_early = failure.kind == io::HttpFailureKind::kClosed ||
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -17,8 +17,9 @@
 class Callers {
  public:
   /// The operation that a caller requests: one with a key, one that runs at
-  /// most once, or one whose answer tells the configuration version in force.
-  enum class Kind { kKeyed, kAtMostOnce, kVersion };
+  /// most once, one of both, or one whose answer tells the configuration
+  /// version in force.
+  enum class Kind { kKeyed, kAtMostOnce, kKeyedAtMostOnce, kVersion };
 
   Callers(Fleet& fleet, std::uint32_t seed);
   /// Stops sending new requests; answers to open ones are still checked.
@@ -41,6 +42,7 @@
   void schedule_request(Caller& caller, Duration delay);
   void send_request(Caller& caller);
   void request_ended(Caller& caller, const std::string& id,
+                     const std::string& expected_body,
                      std::uint64_t incarnation, TimePoint sent,
                      const io::HttpResult& result);
 
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -136,16 +136,36 @@
   if (candidates.size() < 3) return;
   Backend& backend =
       *candidates[random_below(static_cast<std::uint32_t>(candidates.size()))];
-  switch (random_below(3)) {
+  switch (random_below(6)) {
     case 0:
       return drain(backend);
     case 1:
       return crash(backend, true);
-    default:
+    case 2:
       return crash(backend, false);
+    default:
+      return misbehave(backend);
   }
 }
 
+void FaultInjector::misbehave(Backend& backend) {
+  using platform::FullPolicy;
+  platform::ServerStandin& server = *backend.server;
+  static const char* const kNames[] = {"refuses", "loses answers",
+                                       "hangs when full", "resets when full"};
+  std::uint32_t kind = random_below(4);
+  record(server.name() + " " + kNames[kind]);
+  if (kind == 0) server.refuse_every = 2;
+  if (kind == 1) server.lose_answer_every = 2;
+  if (kind == 2) server.when_full = FullPolicy::kHang;
+  if (kind == 3) server.when_full = FullPolicy::kReset;
+  run_after(random_duration(500, 4000), [&server] {
+    server.refuse_every = 0;
+    server.lose_answer_every = 0;
+    server.when_full = FullPolicy::kRefuse;
+  });
+}
+
 void FaultInjector::drain(Backend& backend) {
   record("drain " + backend.server->name());
   backend.draining_since = io::steady_now();
@@ -194,12 +214,15 @@
 
 void FaultInjector::link_fault() {
   static constexpr LinkFault kFaults[] = {
-      LinkFault::kDelayed, LinkFault::kRefused, LinkFault::kAnswersLost,
-      LinkFault::kSilent};
-  static const char* const kNames[] = {"delayed", "reset", "cut one way",
-                                       "silent"};
-  std::uint32_t kind = random_below(4);
-  bool to_store = random_below(2) == 0;
+      LinkFault::kDelayed,          LinkFault::kRefused,
+      LinkFault::kAnswersLost,      LinkFault::kSilent,
+      LinkFault::kRefusalsRepeated, LinkFault::kRefusedEarly};
+  static const char* const kNames[] = {"delayed",          "reset",
+                                       "cut one way",      "silent",
+                                       "repeats refusals", "refuses early"};
+  bool to_store = random_below(3) == 0;
+  // The last two concern requests, of which the store has none.
+  std::uint32_t kind = random_below(to_store ? 4 : 6);
   auto daemons = static_cast<std::uint32_t>(fleet_.daemons().size());
   auto backends = static_cast<std::uint32_t>(fleet_.backends().size());
   std::uint32_t which = random_below(to_store ? daemons : backends);
@@ -236,6 +259,9 @@
   }
   for (Backend& backend : fleet_.backends()) {
     backend.proxy->set_fault(LinkFault::kNone);
+    backend.server->refuse_every = 0;
+    backend.server->lose_answer_every = 0;
+    backend.server->when_full = platform::FullPolicy::kRefuse;
     if (!backend.server->up()) backend.server->start();
     fleet_.publish_entry(backend, "ready");
   }
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -27,6 +27,8 @@
 constexpr Duration kAtMostOnceExecutionTime = milliseconds(150);
 constexpr std::size_t kKeyedServers = 4;
 constexpr std::size_t kAtMostOnceServers = 3;
+/// Fewer than the callers' requests at busy times, so that servers are full.
+constexpr std::size_t kAtMostOnceCapacity = 4;
 
 /// A loopback address that depends on the process id, so that several soaks can
 /// run on one machine.
@@ -67,6 +69,7 @@
   }
   json::array rules = {rule("keyed", "safe", "/k/", kKeyedService),
                        rule("once", "unsafe", "/o/", kAtMostOnceService),
+                       rule("keyed_once", "unsafe", "/w/", kKeyedService),
                        rule("version", "safe", "/v/",
                             version_service(version % kVersionServices))};
   return json::serialize(json::object{
@@ -129,8 +132,10 @@
   backend.server = std::make_unique<platform::ServerStandin>(io_, name, keyed);
   backend.proxy = std::make_unique<Proxy>(io_, backend.server->endpoint());
   backend.server->address = backend.proxy->endpoint();
+  bool at_most_once = service == kAtMostOnceService;
   backend.server->work =
-      service == kAtMostOnceService ? kAtMostOnceExecutionTime : kExecutionTime;
+      at_most_once ? kAtMostOnceExecutionTime : kExecutionTime;
+  backend.server->capacity = at_most_once ? kAtMostOnceCapacity : 0;
   backend.server->on_run = [this, &backend](const platform::ServerRun& run) {
     on_run(backend, run);
   };
--- a/tests/soak/proxy.cc
+++ b/tests/soak/proxy.cc
@@ -1,17 +1,69 @@
 #include "tests/soak/proxy.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
 
 #include "io/endpoint.h"
+#include "names.h"
 
 namespace eelgrasspin::soak {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
 
+namespace {
+
+constexpr std::uint64_t kMaxRefusedBodyBytes = 16 * 1024 * 1024;
+
+struct EarlyRefusal {
+  std::string response;
+  std::uint64_t body_bytes_left = 0;
+};
+
+/// The refusal of a request of which only a part has arrived.
+std::optional<EarlyRefusal> refuse_early(std::string_view data) {
+  http::request_parser<http::string_body> parser;
+  parser.body_limit(kMaxRefusedBodyBytes);
+  parser.eager(true);
+  error_code failed;
+  parser.put(asio::buffer(data), failed);
+  if (!parser.is_header_done() || parser.is_done()) return std::nullopt;
+  auto left = parser.content_length_remaining();
+  auto id = parser.get().find(platform::kRequestIdHeader);
+  if (!left || id == parser.get().end()) return std::nullopt;
+  return EarlyRefusal{"HTTP/1.1 503 Service Unavailable\r\n" +
+                          std::string(platform::kNotRunHeader) + ": 1\r\n" +
+                          std::string(platform::kRequestIdHeader) + ": " +
+                          std::string(id->value()) +
+                          "\r\nContent-Length: 0\r\n\r\n",
+                      *left};
+}
+
+/// The refusal without the field that names its request.
+std::string without_request_id(std::string refusal) {
+  std::size_t start = refusal.find(platform::kRequestIdHeader);
+  if (start == std::string::npos) return refusal;
+  std::size_t end = refusal.find("\r\n", start);
+  if (end == std::string::npos) return refusal;
+  return refusal.erase(start, end + 2 - start);
+}
+
+bool is_refusal(std::string_view data) {
+  return data.starts_with("HTTP/1.1 503") &&
+         data.find(platform::kNotRunHeader) != std::string_view::npos;
+}
+
+}  // namespace
+
 /// A connection from a client and the matching one to the target.
 class Proxy::Connection
     : public std::enable_shared_from_this<Proxy::Connection> {
@@ -73,6 +125,25 @@
 
   void forward(std::size_t direction, std::size_t count) {
     if (silent_ || (direction == 1 && answers_lost_)) return read(direction);
+    std::string_view data(buffers_[direction].data(), count);
+    if (direction == 1) {
+      bool repeat = proxy_->fault_ == LinkFault::kRefusalsRepeated;
+      repeated_ = repeat && is_refusal(data) ? std::string(data) : "";
+    } else if (!repeated_.empty()) {
+      names_request_ = !names_request_;
+      inject(names_request_ ? repeated_ : without_request_id(repeated_));
+      repeated_.clear();
+    } else if (body_bytes_to_drop_ > 0) {
+      body_bytes_to_drop_ -=
+          std::min<std::uint64_t>(body_bytes_to_drop_, count);
+      return read(direction);
+    } else if (proxy_->fault_ == LinkFault::kRefusedEarly) {
+      if (auto refusal = refuse_early(data)) {
+        body_bytes_to_drop_ = refusal->body_bytes_left;
+        inject(refusal->response);
+        return read(direction);
+      }
+    }
     Duration delay =
         proxy_->fault_ == LinkFault::kDelayed ? proxy_->delay_ : Duration(0);
     timers_[direction].expires_after(delay);
@@ -83,6 +154,15 @@
         });
   }
 
+  /// Sends the client bytes that the target has not sent. No other write to the
+  /// client is in progress, since it waits for an answer.
+  void inject(std::string bytes) {
+    auto data = std::make_shared<std::string>(std::move(bytes));
+    asio::async_write(
+        client_, asio::buffer(*data),
+        [self = shared_from_this(), data](error_code, std::size_t) {});
+  }
+
   void write(std::size_t direction, std::size_t count) {
     if (silent_) return read(direction);
     tcp::socket& to = direction == 0 ? target_ : client_;
@@ -102,6 +182,10 @@
   std::array<std::array<char, 16'384>, 2> buffers_{};
   bool silent_ = false;
   bool answers_lost_ = false;
+  std::string repeated_;  ///< Sent when the next request arrives.
+  bool names_request_ =
+      false;  ///< The last repeated refusal named its request.
+  std::uint64_t body_bytes_to_drop_ = 0;
 };
 
 Proxy::Proxy(asio::io_context& io, const Endpoint& target)
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -17,6 +17,12 @@
   kRefused,      ///< Open connections are reset, new ones closed at once.
   kAnswersLost,  ///< Data from the target is dropped.
   kSilent,       ///< Data is dropped both ways, on new connections too.
+  /// A server's refusal is sent once more when the next request arrives; every
+  /// other copy names no request.
+  kRefusalsRepeated,
+  /// A request whose body has not arrived with its head is refused; the rest of
+  /// the body is read and dropped.
+  kRefusedEarly,
 };
 
 /// A TCP proxy on loopback that injects faults into the connections made
