Log what a refusal's promise stands on, and the connection of each attempt

request_end names with `not_run` what shows that a request answered 503 has not run (not_sent, no_connection, server_refusal); attempt_failed names whether the connection was new or reused; responses_skipped counts responses to other requests; request_rejected is the line, and its count the metric, of a request that is answered 4xx before it is complete. Such an answer now echoes the request's id if its head was read.

No decision changes. The metric of a line is fleet_events_total{event}.

--- a/src/fleet/answers.cc
+++ b/src/fleet/answers.cc
@@ -42,6 +42,14 @@
        {"store_age", text(now - state.store_answered_at)}});
 }
 
+/// What shows that the request has run at no server.
+std::string_view not_run_proof(const RequestState& request) {
+  // Each send that reached a server was refused, or the request would count as
+  // one that may have run.
+  if (request.sends > 0) return "server_refusal";
+  return request.connect_failures > 0 ? "no_connection" : "not_sent";
+}
+
 /// Time until the first of the servers that have denied the request is expected
 /// to admit one.
 Duration shortest_admission_delay(const State& state,
@@ -80,20 +88,23 @@
 
 void log_request_end(const RequestState& request, int status,
                      std::string_view reason, TimePoint now, Effects& effects) {
-  log_event(effects, "request_end",
-            {{"id", request.caller_request_id},
-             {"status", std::to_string(status)},
-             {"reason", std::string(reason)},
-             {"route", request.route->name},
-             {"service", request.service.str()},
-             {"key", request.key ? std::to_string(request.key->value) : "-"},
-             {"fingerprint",
-              reason == "answered" ? "-" : text(request.fingerprint.value)},
-             {"server", request.server.empty() ? "-" : request.server.str()},
-             {"sends", std::to_string(request.sends)},
-             {"load_at_send", std::to_string(request.in_flight_at_send)},
-             {"elapsed", text(now - request.arrived_at)},
-             {"config", text(request.configuration->version)}});
+  log_event(
+      effects, "request_end",
+      {{"id", request.caller_request_id},
+       {"status", std::to_string(status)},
+       {"reason", std::string(reason)},
+       {"not_run",
+        status == kUnavailable ? std::string(not_run_proof(request)) : "-"},
+       {"route", request.route->name},
+       {"service", request.service.str()},
+       {"key", request.key ? std::to_string(request.key->value) : "-"},
+       {"fingerprint",
+        reason == "answered" ? "-" : text(request.fingerprint.value)},
+       {"server", request.server.empty() ? "-" : request.server.str()},
+       {"sends", std::to_string(request.sends)},
+       {"load_at_send", std::to_string(request.in_flight_at_send)},
+       {"elapsed", text(now - request.arrived_at)},
+       {"config", text(request.configuration->version)}});
 }
 
 void answer(State& state, RequestState& request, int status,
--- a/src/fleet/attempts.cc
+++ b/src/fleet/attempts.cc
@@ -147,6 +147,12 @@
       ended.result == AttemptResult::kNotRun) {
     on_server_alive(state, server_of(request), request.sent_at);
   }
+  if (ended.skipped_responses > 0) {
+    log_event(effects, "responses_skipped",
+              {{"id", request.caller_request_id},
+               {"server", request.server.str()},
+               {"count", std::to_string(ended.skipped_responses)}});
+  }
   if (ended.result != AttemptResult::kAnswered) {
     log_event(effects, "attempt_failed",
               {{"id", request.caller_request_id},
@@ -156,6 +162,7 @@
                {"status", std::to_string(ended.status)},
                {"why", ended.why},
                {"after", text(now - request.sent_at)},
+               {"connection", ended.reused_connection ? "reused" : "new"},
                {"load_at_send", std::to_string(request.in_flight_at_send)}});
   }
   switch (ended.result) {
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -129,6 +129,9 @@
   std::shared_ptr<const ServerAnswer> answer;
   std::string why;
   ServerNotice notice;
+  bool reused_connection = false;  ///< It was not made for this attempt.
+  /// Responses to other requests that came before the end of the attempt.
+  std::uint32_t skipped_responses = 0;
 };
 enum class OrderResult : std::uint8_t {
   kDone,
--- a/src/fleet/requests.cc
+++ b/src/fleet/requests.cc
@@ -42,6 +42,7 @@
             {{"id", received.caller_request_id},
              {"status", std::to_string(status)},
              {"reason", std::string(reason)},
+             {"not_run", status == kUnavailable ? "not_sent" : "-"},
              {"host", received.host},
              {"path", received.path},
              {"config", text(version)}});
--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -69,7 +69,7 @@
 
 BackendPool::Busy BackendPool::new_connection(const Endpoint& address) {
   ++connections_made_;
-  return {make_http_connection(io_, address, memory_), Duration(0)};
+  return {make_http_connection(io_, address, memory_)};
 }
 
 BackendPool::Busy BackendPool::take_connection(const Endpoint& address,
@@ -88,13 +88,13 @@
     }
     Idle idle = std::move(idle_connections.back());
     idle_connections.pop_back();
-    if (alive) return {std::move(idle.connection), idle_time};
+    if (alive) return {std::move(idle.connection), true, idle_time};
     idle.connection->close();
   }
   return new_connection(address);
 }
 
-std::uint64_t BackendPool::start(Call call, HttpCallback done) {
+std::uint64_t BackendPool::start(Call call, Callback done) {
   std::uint64_t number = next_number_++;
   Busy busy = call.on_new_connection
                   ? new_connection(call.address)
@@ -105,20 +105,22 @@
       call.request, call.timeout, std::move(call.matches_request),
       [this, number, address = call.address,
        done = std::move(done)](HttpResult result) {
-        finish(number, address, result);
-        done(std::move(result));
+        ConnectionUse use = finish(number, address, result);
+        done(std::move(result), use);
       });
   return number;
 }
 
-void BackendPool::finish(std::uint64_t number, const Endpoint& address,
-                         const HttpResult& result) {
+BackendPool::ConnectionUse BackendPool::finish(std::uint64_t number,
+                                               const Endpoint& address,
+                                               const HttpResult& result) {
   auto found = busy_.find(number);
-  if (found == busy_.end()) return;
+  if (found == busy_.end()) return {};
   Busy busy = std::move(found->second);
   busy_.erase(found);
   record_stale_connection(busy, result);
   std::shared_ptr<HttpConnection> connection = std::move(busy.connection);
+  ConnectionUse use = {busy.reused, connection->skipped_response_count()};
   std::vector<Idle>& idle_connections = idle_[address];
   const auto* response = std::get_if<HttpResponse>(&result);
   if (response == nullptr) {
@@ -132,6 +134,7 @@
   } else {
     connection->close();
   }
+  return use;
 }
 
 void BackendPool::record_stale_connection(const Busy& busy,
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -27,13 +27,20 @@
     bool last_on_connection = false;
   };
 
+  /// What is known of the connection that a call used.
+  struct ConnectionUse {
+    bool reused = false;  ///< It was not made for this call.
+    std::uint32_t skipped_responses = 0;
+  };
+  using Callback = std::function<void(HttpResult, const ConnectionUse&)>;
+
   explicit BackendPool(boost::asio::io_context& io);
   ~BackendPool();
   BackendPool(const BackendPool&) = delete;
   BackendPool& operator=(const BackendPool&) = delete;
 
   /// Returns the call's number for cancel().
-  std::uint64_t start(Call call, HttpCallback done);
+  std::uint64_t start(Call call, Callback done);
   /// Closes the call's connection; its callback will not be called.
   void cancel(std::uint64_t number);
   /// Closes idle connections that their servers are about to close.
@@ -49,6 +56,7 @@
   };
   struct Busy {
     std::shared_ptr<HttpConnection> connection;
+    bool reused = false;
     Duration idle_time{0};       ///< Before this call; 0 for a new connection.
     bool last_exchange = false;  ///< The connection is closed after it.
   };
@@ -57,8 +65,8 @@
   /// Longest idle time after which a connection is reused.
   Duration max_idle_time(const Idle& idle, bool repeatable,
                          TimePoint now) const;
-  void finish(std::uint64_t number, const Endpoint& address,
-              const HttpResult& result);
+  ConnectionUse finish(std::uint64_t number, const Endpoint& address,
+                       const HttpResult& result);
   void record_stale_connection(const Busy& busy, const HttpResult& result);
 
   boost::asio::io_context& io_;
--- a/src/io/caller_http.cc
+++ b/src/io/caller_http.cc
@@ -116,7 +116,7 @@
     : handlers_(std::move(handlers)),
       server_(io,
               {.make_refusal =
-                   [](int status, const std::string& why) {
+                   [](int status, const std::string& why, const HttpRequest&) {
                      Reason reason = status == kPayloadTooLarge
                                          ? Reason::kBodyTooLarge
                                          : Reason::kBadRequest;
--- a/src/io/fleet_ports.h
+++ b/src/io/fleet_ports.h
@@ -126,6 +126,8 @@
   /// Reads a caller's request; an error says what is wrong with it.
   virtual Result<CallerRequestHead> read_caller_request(
       const HttpRequest& request) const = 0;
+  /// The id that the caller has given its request; empty if it has none.
+  virtual std::string caller_request_id(const HttpRequest& request) const = 0;
   /// Builds the request that is forwarded to the server of `attempt`.
   virtual HttpRequest make_server_request(
       const HttpRequest& request, const fleet::SendAttempt& attempt) const = 0;
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -39,14 +39,6 @@
                        std::chrono::nanoseconds(now.tv_nsec)));
 }
 
-HttpServerOptions caller_server_options(const RequestFormat& format) {
-  HttpServerOptions options;
-  options.make_refusal = [&format](int status, const std::string& why) {
-    return format.make_router_response({}, status, Duration(0), why);
-  };
-  return options;
-}
-
 }  // namespace
 
 FleetShell::FleetShell(asio::io_context& io, fleet::Settings settings,
@@ -63,7 +55,7 @@
       store_feed_(io, store, settings_,
                   [this](const fleet::Event& event) { apply(event); }),
       backend_pool_(io),
-      caller_server_(io, caller_server_options(format),
+      caller_server_(io, caller_server_options(),
                      [this](const std::shared_ptr<HttpExchange>& exchange) {
                        on_caller_request(exchange);
                      }),
@@ -81,6 +73,21 @@
       tick_timer_(io),
       log_limiter_(kMaxLogLinesPerKindPerSecond) {}
 
+HttpServerOptions FleetShell::caller_server_options() {
+  HttpServerOptions options;
+  options.make_refusal = [this](int status, const std::string& why,
+                                const HttpRequest& received) {
+    std::string id = format_.caller_request_id(received);
+    on_log_event(fleet::LogEvent{"request_rejected",
+                                 {{"id", id},
+                                  {"status", std::to_string(status)},
+                                  {"from", received.remote.str()},
+                                  {"why", why}}});
+    return format_.make_router_response(id, status, Duration(0), why);
+  };
+  return options;
+}
+
 std::vector<Error> FleetShell::bind() {
   std::vector<Error> errors;
   auto listen = [&errors](HttpServer& server, const Endpoint& endpoint) {
@@ -252,13 +259,16 @@
       attempt.on_new_connection};
   TimePoint sent = boottime_now();
   attempt_calls_[attempt.id] = backend_pool_.start(
-      std::move(call), [this, id = attempt.id, sent](HttpResult result) {
+      std::move(call),
+      [this, id = attempt.id, sent](HttpResult result,
+                                    const BackendPool::ConnectionUse& use) {
         attempt_latency_.record(boottime_now() - sent);
-        end_attempt(id, std::move(result));
+        end_attempt(id, std::move(result), use);
       });
 }
 
-void FleetShell::end_attempt(AttemptId id, HttpResult result) {
+void FleetShell::end_attempt(AttemptId id, HttpResult result,
+                             const BackendPool::ConnectionUse& use) {
   using fleet::AttemptResult;
   attempt_calls_.erase(id);
   fleet::AttemptEnded ended;
@@ -286,6 +296,8 @@
     }
   }
   ended.id = id;
+  ended.reused_connection = use.reused;
+  ended.skipped_responses = use.skipped_responses;
   apply(ended);
 }
 
--- a/src/io/fleet_shell.h
+++ b/src/io/fleet_shell.h
@@ -62,7 +62,9 @@
   bool guard(std::string_view source, Handler handler);
   void on_caller_request(const std::shared_ptr<HttpExchange>& exchange);
   void send_attempt(const fleet::SendAttempt& attempt);
-  void end_attempt(AttemptId id, HttpResult result);
+  void end_attempt(AttemptId id, HttpResult result,
+                   const BackendPool::ConnectionUse& use);
+  HttpServerOptions caller_server_options();
   void answer(RequestId request, HttpResponse response);
   void send_datagrams(const std::string& text, const std::vector<Endpoint>& to);
   void receive_datagram();
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -80,6 +80,9 @@
   bool idle() const override { return phase_ == Phase::kIdle; }
   bool closed() const override { return phase_ == Phase::kClosed; }
   std::uint64_t response_count() const override { return response_count_; }
+  std::uint32_t skipped_response_count() const override {
+    return skipped_response_count_;
+  }
   TimePoint last_response_time() const override { return last_response_time_; }
 
  private:
@@ -265,7 +268,7 @@
     }
     response.body = std::move(message.body());
     if (matches_request_ && !matches_request_(response)) {
-      unmatched_response_ = true;
+      ++skipped_response_count_;
       if (!message.keep_alive()) {
         return fail(HttpFailureKind::kTruncated, "response to another request");
       }
@@ -280,7 +283,7 @@
     phase_ = Phase::kIdle;
     // Bytes after the response belong to no request: the framing may be wrong.
     if (!message.keep_alive() || buffer_.size() > 0 || writing_ ||
-        unmatched_response_) {
+        skipped_response_count_ > 0) {
       close_socket();
     } else {
       read_more();  // Detects that the server closes the connection.
@@ -316,8 +319,7 @@
   bool first_byte_seen_ = false;
   bool is_head_request_ = false;
   bool writing_ = false;
-  /// A response that matches no request was skipped.
-  bool unmatched_response_ = false;
+  std::uint32_t skipped_response_count_ = 0;
 };
 
 }  // namespace
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -60,6 +60,8 @@
   virtual bool closed() const = 0;
   /// Number of complete responses so far.
   virtual std::uint64_t response_count() const = 0;
+  /// Number of responses that exchange_checked() has skipped.
+  virtual std::uint32_t skipped_response_count() const = 0;
   /// When the last response was complete, on the steady clock. Valid only if
   /// response_count() > 0.
   virtual TimePoint last_response_time() const = 0;
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -37,7 +37,8 @@
         handler(std::move(handle)) {}
 
   void accept();
-  HttpResponse make_refusal(int status, std::string why) const;
+  HttpResponse make_refusal(int status, std::string why,
+                            const HttpRequest& received) const;
 
   asio::io_context& io;
   tcp::acceptor acceptor;
@@ -336,7 +337,12 @@
   void refuse(int status, std::string why) {
     receiving_ = false;
     stop_parsing_ = true;
-    HttpResponse refusal = server_->make_refusal(status, std::move(why));
+    HttpRequest received;
+    received.remote = remote_;
+    if (parser_->is_header_done())
+      received.headers = fields_of(parser_->get().base());
+    HttpResponse refusal =
+        server_->make_refusal(status, std::move(why), received);
     refusal.close = true;
     add({}, false, false)->answer(std::move(refusal));
   }
@@ -463,8 +469,10 @@
   });
 }
 
-HttpResponse HttpServer::Impl::make_refusal(int status, std::string why) const {
-  if (options.make_refusal) return options.make_refusal(status, std::move(why));
+HttpResponse HttpServer::Impl::make_refusal(int status, std::string why,
+                                            const HttpRequest& received) const {
+  if (options.make_refusal)
+    return options.make_refusal(status, std::move(why), received);
   return {status, {{"Content-Type", "text/plain"}}, why + "\n"};
 }
 
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -39,8 +39,10 @@
   /// Longest time a connection stays open without a request.
   Duration idle_timeout = config::kIdleConnectionTimeout;
   /// Builds the response to a request that is refused before it was completely
-  /// received.
-  std::function<HttpResponse(int status, std::string why)> make_refusal;
+  /// received; `received` has its header fields if they were read.
+  std::function<HttpResponse(int status, std::string why,
+                             const HttpRequest& received)>
+      make_refusal;
 };
 
 /// HTTP/1.1 server on one port. Not thread safe; runs on one io_context.
--- a/tests/backend_pool_test.cc
+++ b/tests/backend_pool_test.cc
@@ -143,7 +143,7 @@
     ++started;
     pool.start(
         {{"GET", path, {{"Host", "h"}}, "", {}}, to, timeout, true, nullptr},
-        [this](const HttpResult& result) {
+        [this](const HttpResult& result, const BackendPool::ConnectionUse&) {
           ++ended;
           if (std::holds_alternative<HttpResponse>(result)) ++answered;
         });
@@ -202,7 +202,9 @@
                  repeatable,
                  nullptr,
                  on_new_connection},
-                [&](HttpResult ended) { result = std::move(ended); });
+                [&](HttpResult ended, const BackendPool::ConnectionUse&) {
+                  result = std::move(ended);
+                });
     EXPECT_TRUE(run_until(io_, [&] { return result.has_value(); }));
     return std::holds_alternative<HttpResponse>(*result);
   }
