Take no second copy of a refusal for the answer to a later send

Cause: a refusal proves something about one send, and was matched by the request's id alone. The second send over a new connection went by the name of the last server. A copy of a refusal that a server writes late was taken for the answer to a later send over the connection on which the first had come: of a request that goes to A, B and A again, of one that goes to another name at the same address, and of one that its caller repeats under its id.

Change: a request goes over a new connection to every address it has been sent to, and one that may run only once uses no connection on which a response with status 400 or above has come. Repeatable requests still do, so that overload costs no connections.

Why it works: a copy can only be read on the connection that carried the refusal, and no request that may run only once is sent over that one again.

--- a/src/fleet/dispatch.cc
+++ b/src/fleet/dispatch.cc
@@ -139,7 +139,11 @@
 void send(State& state, RequestState& request, const ServerName& name,
           TimePoint now, Effects& effects) {
   ServerState& server = state.servers.at(name);
-  bool sent_before = request.sends > 0 && request.server == name;
+  const Endpoint& address = server.server.address;
+  std::vector<Endpoint>& tried = request.tried_addresses;
+  bool sent_before =
+      std::find(tried.begin(), tried.end(), address) != tried.end();
+  if (!sent_before) tried.push_back(address);
   Candidate candidate = candidate_of(state, server, now);
   request.phase = RequestPhase::kSent;
   request.attempt = AttemptId(state.next_attempt++);
@@ -153,10 +157,10 @@
   ++server.in_flight;
   state.fleet.load_changed = true;
   state.attempts[request.attempt] = request.id;
-  effects.emplace_back(SendAttempt{
-      request.attempt, request.id, name, server.server.address,
-      time_left(request, now), give_up_time(request) - now + kTimeoutGrace,
-      request.route->repeatable, sent_before});
+  effects.emplace_back(SendAttempt{request.attempt, request.id, name, address,
+                                   time_left(request, now),
+                                   give_up_time(request) - now + kTimeoutGrace,
+                                   request.route->repeatable, sent_before});
   if (request.sends > 1) {
     log_event(effects, "request_resent",
               {{"id", request.caller_request_id},
--- a/src/fleet/effect.h
+++ b/src/fleet/effect.h
@@ -18,7 +18,7 @@
   Duration time_left{0};         ///< Until the deadline; sent to the server.
   Duration response_timeout{0};  ///< The attempt ends as kTimedOut after it.
   bool repeatable = false;
-  /// The server has been sent this request before. On the same connection a
+  /// The request has been sent to this address before. On the same connection a
   /// late copy of its answer could be taken for the next one.
   bool on_new_connection = false;
 };
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -228,6 +228,7 @@
   std::uint32_t connect_failures = 0;
   bool may_have_run = false;  ///< At a server, in an earlier attempt.
   std::vector<ServerName> tried_servers;
+  std::vector<Endpoint> tried_addresses;  ///< All that it was sent to.
   std::vector<ServerName> denied_by;  ///< Servers whose limit leaves no room.
   TimePoint not_before;               ///< No attempt is made before.
   /// A server's answer that reports a failure; sent if no other attempt
--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -18,6 +18,7 @@
 constexpr double kRepeatableKeepAliveShare = 0.8;
 constexpr double kRunOnceKeepAliveShare = 0.5;
 constexpr std::size_t kMaxIdlePerServer = 8;
+constexpr int kLowestFailureStatus = 400;
 /// A connection that is reset after a shorter idle time was not stale: its
 /// server ended or was at capacity.
 constexpr Duration kMinStaleIdleTime = milliseconds(100);
@@ -72,26 +73,33 @@
   return {make_http_connection(io_, address, memory_)};
 }
 
+bool BackendPool::may_reuse(const Idle& idle, bool repeatable,
+                            TimePoint now) const {
+  // A server may send a refusal once more. Taken for the answer to a request
+  // that may run only once, it would promise that the request has not run.
+  if (!repeatable && idle.carried_failure) return false;
+  return now - idle.connection->last_response_time() <
+         max_idle_time(idle, repeatable, now);
+}
+
 BackendPool::Busy BackendPool::take_connection(const Endpoint& address,
                                                bool repeatable) {
   std::vector<Idle>& idle_connections = idle_[address];
   TimePoint now = steady_now();
+  std::erase_if(idle_connections, [&](const Idle& idle) {
+    bool alive = idle.connection->idle() && may_reuse(idle, true, now);
+    if (!alive) idle.connection->close();
+    return !alive;
+  });
   // The most recently used connection is the most likely to be alive.
-  while (!idle_connections.empty()) {
-    Duration idle_time =
-        now - idle_connections.back().connection->last_response_time();
-    bool alive = idle_connections.back().connection->idle() &&
-                 idle_time < max_idle_time(idle_connections.back(), true, now);
-    if (alive &&
-        idle_time >= max_idle_time(idle_connections.back(), repeatable, now)) {
-      break;  // Too old for this request; a repeatable one may still use it.
-    }
-    Idle idle = std::move(idle_connections.back());
-    idle_connections.pop_back();
-    if (alive) return {std::move(idle.connection), true, idle_time};
-    idle.connection->close();
-  }
-  return new_connection(address);
+  auto found = std::find_if(
+      idle_connections.rbegin(), idle_connections.rend(),
+      [&](const Idle& idle) { return may_reuse(idle, repeatable, now); });
+  if (found == idle_connections.rend()) return new_connection(address);
+  Idle idle = std::move(*found);
+  idle_connections.erase(std::next(found).base());
+  Duration idle_time = now - idle.connection->last_response_time();
+  return {std::move(idle.connection), true, idle_time, idle.carried_failure};
 }
 
 std::uint64_t BackendPool::start(Call call, Callback done) {
@@ -130,7 +138,8 @@
   } else if (connection->idle() && !busy.last_exchange &&
              idle_connections.size() < kMaxIdlePerServer) {
     idle_connections.push_back(
-        {std::move(connection), keep_alive_of(*response)});
+        {std::move(connection), keep_alive_of(*response),
+         busy.carried_failure || response->status >= kLowestFailureStatus});
   } else {
     connection->close();
   }
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -53,15 +53,18 @@
   struct Idle {
     std::shared_ptr<HttpConnection> connection;
     Duration keep_alive{0};  ///< Idle time after which the server closes it.
+    bool carried_failure = false;
   };
   struct Busy {
     std::shared_ptr<HttpConnection> connection;
     bool reused = false;
-    Duration idle_time{0};       ///< Before this call; 0 for a new connection.
-    bool last_exchange = false;  ///< The connection is closed after it.
+    Duration idle_time{0};  ///< Before this call; 0 for a new connection.
+    bool carried_failure = false;  ///< In an earlier call.
+    bool last_exchange = false;    ///< The connection is closed after it.
   };
   Busy new_connection(const Endpoint& address);
   Busy take_connection(const Endpoint& address, bool repeatable);
+  bool may_reuse(const Idle& idle, bool repeatable, TimePoint now) const;
   /// Longest idle time after which a connection is reused.
   Duration max_idle_time(const Idle& idle, bool repeatable,
                          TimePoint now) const;
--- a/tests/fleet_requests_test.cc
+++ b/tests/fleet_requests_test.cc
@@ -41,7 +41,7 @@
     auto configuration = std::make_shared<Configuration>();
     configuration->version = version;
     configuration->services[kDesk] = {kDesk, false};
-    configuration->services[kBooking] = {kBooking, false};
+    configuration->services[kBooking] = {kBooking, booking_is_keyed_};
     configuration->routes =
         routes.empty() ? std::vector<Route>{route("/safe/", kDesk, true),
                                             route("/once/", kBooking, false)}
@@ -56,6 +56,20 @@
                       ZoneName(zone), 2, Incarnation(1), false, Duration(0)}});
   }
 
+  /// Makes the server the owner of all keys of the booking service.
+  void own(const char* server, std::uint64_t revision) {
+    OwnerMap map;
+    map.service = kBooking;
+    map.coordinator = DaemonName("other");
+    map.last_epoch = Epoch(revision);
+    map.ranges = {{ShardKey(0),
+                   ShardKey(kMaxShardKey),
+                   {ServerName(server), Incarnation(1)},
+                   Epoch(revision),
+                   {}}};
+    apply(MapSeen{map, Version(revision)});
+  }
+
   Effects apply(const Event& event) {
     Effects effects = reduce(state_, event, now_);
     for (const Effect& effect : effects) {
@@ -99,6 +113,7 @@
 
   TimePoint now_{seconds(100)};
   State state_;
+  bool booking_is_keyed_ = false;
   /// An answer is opaque to the reducer, so any address will do.
   int token_ = 0;
   std::shared_ptr<const ServerAnswer> answer_{
@@ -158,6 +173,48 @@
   EXPECT_EQ(answers_[0].status, 503);
 }
 
+TEST_F(FleetRequests, SendToAFormerOwnerUsesANewConnection) {
+  booking_is_keyed_ = true;
+  Route once = route("/once/", kBooking, false);
+  once.attempts = 3;
+  configure({once});
+  add("s1", kBooking);
+  add("s2", kBooking);
+  own("s1", 1);
+  apply(RequestReceived{RequestId(1), "label", "h", "/once/x", ShardKey(7),
+                        seconds(2), Fingerprint(1)});
+  end(AttemptResult::kWrongOwner, 421);
+  own("s2", 2);
+  pass(config::kOwnerRetryDelay);
+  end(AttemptResult::kWrongOwner, 421);
+  own("s1", 3);
+  pass(config::kOwnerRetryDelay);
+  ASSERT_EQ(sends_.size(), 3u);
+  EXPECT_EQ(sends_[2].server, ServerName("s1"));
+  EXPECT_FALSE(sends_[1].on_new_connection);
+  EXPECT_TRUE(sends_[2].on_new_connection);
+}
+
+TEST_F(FleetRequests, SendToAnotherNameAtTheSameAddressUsesANewConnection) {
+  configure();
+  Server server = {ServerName("s1"),
+                   Endpoint("10.1.0.1:1"),
+                   kBooking,
+                   ZoneName("z"),
+                   2,
+                   Incarnation(1),
+                   false,
+                   Duration(0)};
+  apply(ServerSeen{server});
+  request(1, "/once/x");
+  server.name = ServerName("s2");
+  apply(ServerSeen{server});
+  end(AttemptResult::kNotRun, 503);
+  ASSERT_EQ(sends_.size(), 2u);
+  EXPECT_EQ(sends_[1].server, ServerName("s2"));
+  EXPECT_TRUE(sends_[1].on_new_connection);
+}
+
 TEST_F(FleetRequests, RefusalWithoutProofIsNotForwardedAsOne) {
   configure();
   add("s1", kBooking);
