Do not end an exchange by the timer of the one before

A request could be answered 504 "no_answer" at once, and its connection be reset, although its server was at work on it.

Cause: cancelling a timer does not stop a handler that is already queued. When a response and the expiry of its timer are found in one iteration of the event loop, the response is handled first and the next request takes the connection; the handler of the expired timer then ends that request. It does not break the promise of "not run": the request counts as sent.

Change: the handler looks at the timer's expiry, as that of HttpServer does.

Evidence: backend_pool_test TimerOfAnEndedCallDoesNotEndTheNextCall failed on the code before (second call: "no answer in time") and passes. Real sockets only.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -121,7 +121,10 @@
   void start_timer(Duration timeout) {
     timer_.expires_after(timeout);
     timer_.async_wait([self = shared_from_this()](error_code failed) {
-      if (failed || !self->done_) return;
+      // An expired timer's handler may still be queued when the timer is set
+      // anew for the next exchange.
+      bool set_anew = self->timer_.expiry() > std::chrono::steady_clock::now();
+      if (failed || set_anew || !self->done_) return;
       self->fail(self->phase_ == Phase::kConnecting
                      ? HttpFailureKind::kConnectTimeout
                      : HttpFailureKind::kTimeout,
--- a/tests/backend_pool_test.cc
+++ b/tests/backend_pool_test.cc
@@ -4,9 +4,12 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
+#include <thread>
+#include <vector>
 
 #include "tests/io_test_util.h"
 
@@ -258,6 +261,51 @@
   EXPECT_EQ(pool_.connections_made(), 3u);
 }
 
+/// The response and the timer's expiry are found in one iteration of the event
+/// loop, and the next call takes the same connection.
+TEST_F(BackendPoolTest, TimerOfAnEndedCallDoesNotEndTheNextCall) {
+  const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  tcp::acceptor acceptor(io_, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket peer(io_);
+  std::array<char, 4096> buffer{};
+  std::size_t requests = 0;
+  std::function<void()> read = [&] {
+    peer.async_read_some(boost::asio::buffer(buffer),
+                         [&](boost::system::error_code failed, std::size_t) {
+                           if (failed) return;
+                           if (++requests == 2)
+                             boost::asio::write(peer, boost::asio::buffer(ok));
+                           read();
+                         });
+  };
+  acceptor.async_accept(peer, [&](boost::system::error_code) { read(); });
+  auto call = [&](Duration timeout, BackendPool::Callback done) {
+    pool_.start({{"GET", "/", {{"Host", "h"}}, "", {}},
+                 io::to_endpoint(acceptor.local_endpoint()),
+                 timeout,
+                 true,
+                 nullptr},
+                std::move(done));
+  };
+  std::vector<bool> answered;
+  auto record = [&](const HttpResult& result) {
+    answered.push_back(std::holds_alternative<HttpResponse>(result));
+  };
+  call(milliseconds(200), [&](const HttpResult& result,
+                              const BackendPool::ConnectionUse&) {
+    record(result);
+    call(seconds(5), [&](const HttpResult& next,
+                         const BackendPool::ConnectionUse&) { record(next); });
+  });
+  ASSERT_TRUE(run_until(io_, [&] { return requests == 1; }));
+  boost::asio::write(peer, boost::asio::buffer(ok));
+  std::this_thread::sleep_for(milliseconds(250));
+  ASSERT_TRUE(run_until(io_, [&] { return answered.size() == 2; }));
+  EXPECT_TRUE(answered[0]);
+  EXPECT_TRUE(answered[1]);
+  EXPECT_EQ(pool_.connections_made(), 1u);
+}
+
 /// A response that never ends fails, whichever part of it is endless.
 TEST_F(BackendPoolTest, EndlessAnswersFail) {
   for (const EndlessCase& endless : kEndlessCases) {
