--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -57,7 +57,7 @@
 }
 
 void FaultInjector::inject_random_fault() {
-  switch (random_below(10)) {
+  switch (random_below(12)) {
     case 0:
     case 1:
     case 2:
@@ -65,10 +65,12 @@
       return daemon_fault();
     case 4:
     case 5:
-      return backend_fault();
     case 6:
-      return store_fault();
     case 7:
+      return backend_fault();
+    case 8:
+      return store_fault();
+    case 9:
       return link_fault();
     default:
       return configuration_change();
@@ -150,22 +152,43 @@
 
 void FaultInjector::misbehave(Backend& backend) {
   using platform::FullPolicy;
-  platform::ServerStandin& server = *backend.server;
-  static const char* const kNames[] = {"refuses", "loses answers",
-                                       "hangs when full", "resets when full"};
-  std::uint32_t kind = random_below(4);
-  record(server.name() + " " + kNames[kind]);
-  if (kind == 0) server.refuse_every = 2;
-  if (kind == 1) server.lose_answer_every = 2;
-  if (kind == 2) server.when_full = FullPolicy::kHang;
-  if (kind == 3) server.when_full = FullPolicy::kReset;
-  run_after(random_duration(500, 4000), [&server] {
-    server.refuse_every = 0;
-    server.lose_answer_every = 0;
-    server.when_full = FullPolicy::kRefuse;
+  static const char* const kNames[] = {"refuses",          "loses answers",
+                                       "hangs when full",  "resets when full",
+                                       "repeats refusals", "refuses early"};
+  std::uint32_t kind = random_below(6);
+  std::vector<Backend*> affected = {&backend};
+  if (random_below(2) == 0) {
+    affected.clear();
+    for (Backend& other : fleet_.backends()) {
+      if (other.service == kAtMostOnceService) affected.push_back(&other);
+    }
+  }
+  for (Backend* each : affected) {
+    platform::ServerStandin& server = *each->server;
+    record(server.name() + " " + kNames[kind]);
+    if (kind == 0 || kind == 4) server.refuse_every = 2;
+    if (kind == 1) server.lose_answer_every = 2;
+    if (kind == 2) server.when_full = FullPolicy::kHang;
+    if (kind == 3) server.when_full = FullPolicy::kReset;
+    if (kind == 4) each->proxy->set_fault(LinkFault::kRefusalsRepeated);
+    if (kind == 5) each->proxy->set_fault(LinkFault::kRefusedEarly);
+  }
+  run_after(random_duration(1000, 5000), [this, affected] {
+    for (Backend* each : affected) behave(*each);
   });
 }
 
+void FaultInjector::behave(Backend& backend) {
+  backend.server->refuse_every = 0;
+  backend.server->lose_answer_every = 0;
+  backend.server->when_full = platform::FullPolicy::kRefuse;
+  LinkFault fault = backend.proxy->fault();
+  if (fault == LinkFault::kRefusalsRepeated ||
+      fault == LinkFault::kRefusedEarly) {
+    backend.proxy->set_fault(LinkFault::kNone);
+  }
+}
+
 void FaultInjector::drain(Backend& backend) {
   record("drain " + backend.server->name());
   backend.draining_since = io::steady_now();
@@ -214,15 +237,12 @@
 
 void FaultInjector::link_fault() {
   static constexpr LinkFault kFaults[] = {
-      LinkFault::kDelayed,          LinkFault::kRefused,
-      LinkFault::kAnswersLost,      LinkFault::kSilent,
-      LinkFault::kRefusalsRepeated, LinkFault::kRefusedEarly};
-  static const char* const kNames[] = {"delayed",          "reset",
-                                       "cut one way",      "silent",
-                                       "repeats refusals", "refuses early"};
-  bool to_store = random_below(3) == 0;
-  // The last two concern requests, of which the store has none.
-  std::uint32_t kind = random_below(to_store ? 4 : 6);
+      LinkFault::kDelayed, LinkFault::kRefused, LinkFault::kAnswersLost,
+      LinkFault::kSilent};
+  static const char* const kNames[] = {"delayed", "reset", "cut one way",
+                                       "silent"};
+  std::uint32_t kind = random_below(4);
+  bool to_store = random_below(2) == 0;
   auto daemons = static_cast<std::uint32_t>(fleet_.daemons().size());
   auto backends = static_cast<std::uint32_t>(fleet_.backends().size());
   std::uint32_t which = random_below(to_store ? daemons : backends);
@@ -259,9 +279,7 @@
   }
   for (Backend& backend : fleet_.backends()) {
     backend.proxy->set_fault(LinkFault::kNone);
-    backend.server->refuse_every = 0;
-    backend.server->lose_answer_every = 0;
-    backend.server->when_full = platform::FullPolicy::kRefuse;
+    behave(backend);
     if (!backend.server->up()) backend.server->start();
     fleet_.publish_entry(backend, "ready");
   }
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -293,7 +293,7 @@
                      }) ||
          std::any_of(backends_.begin(), backends_.end(),
                      [](const Backend& backend) {
-                       return backend.proxy->fault() != LinkFault::kNone;
+                       return is_link_down(backend.proxy->fault());
                      });
 }
 
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -25,6 +25,12 @@
   kRefusedEarly,
 };
 
+/// Whether the fault is one of the link, and not of what the server answers.
+inline bool is_link_down(LinkFault fault) {
+  return fault != LinkFault::kNone && fault != LinkFault::kRefusalsRepeated &&
+         fault != LinkFault::kRefusedEarly;
+}
+
 /// A TCP proxy on loopback that injects faults into the connections made
 /// through it. Data that a fault drops is never delivered later.
 class Proxy {
