--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -400,6 +400,20 @@
       AttemptResult::kAnswerLost);
 }
 
+TEST(PlatformRequests, ContradictoryRefusalsProveNothing) {
+  using fleet::AttemptResult;
+  HeaderFormat format;
+  auto result = [&](int status, io::HeaderFields headers) {
+    return format.classify({status, std::move(headers), "", false}).result;
+  };
+  EXPECT_EQ(result(503, {{kNotRunHeader, "1"}, {kResponseStampHeader, "s"}}),
+            AttemptResult::kAnswerLost);
+  EXPECT_EQ(result(421, {{kResponseStampHeader, "s"}}),
+            AttemptResult::kAnswerLost);
+  EXPECT_EQ(result(200, {{kNotRunHeader, "1"}}), AttemptResult::kAnswerLost);
+  EXPECT_EQ(result(429, {{kNotRunHeader, "1"}}), AttemptResult::kNotRun);
+}
+
 TEST(PlatformRequests, ServersAnnounceThatTheyLeave) {
   HeaderFormat format;
   auto leaving = [&](int status, io::HeaderFields headers) {
