Soak: servers misbehave on a schedule of their own, and copies without an id

Servers now misbehave every 0.2 to 1.2 s, one of them or the whole at-most-once service, and every other copy at a link names no request.

--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -57,7 +57,7 @@
 }
 
 void FaultInjector::inject_random_fault() {
-  switch (random_below(12)) {
+  switch (random_below(10)) {
     case 0:
     case 1:
     case 2:
@@ -65,12 +65,10 @@
       return daemon_fault();
     case 4:
     case 5:
-    case 6:
-    case 7:
       return backend_fault();
-    case 8:
+    case 6:
       return store_fault();
-    case 9:
+    case 7:
       return link_fault();
     default:
       return configuration_change();
@@ -138,54 +136,13 @@
   if (candidates.size() < 3) return;
   Backend& backend =
       *candidates[random_below(static_cast<std::uint32_t>(candidates.size()))];
-  switch (random_below(6)) {
+  switch (random_below(3)) {
     case 0:
       return drain(backend);
     case 1:
       return crash(backend, true);
-    case 2:
-      return crash(backend, false);
     default:
-      return misbehave(backend);
-  }
-}
-
-void FaultInjector::misbehave(Backend& backend) {
-  using platform::FullPolicy;
-  static const char* const kNames[] = {"refuses",          "loses answers",
-                                       "hangs when full",  "resets when full",
-                                       "repeats refusals", "refuses early"};
-  std::uint32_t kind = random_below(6);
-  std::vector<Backend*> affected = {&backend};
-  if (random_below(2) == 0) {
-    affected.clear();
-    for (Backend& other : fleet_.backends()) {
-      if (other.service == kAtMostOnceService) affected.push_back(&other);
-    }
-  }
-  for (Backend* each : affected) {
-    platform::ServerStandin& server = *each->server;
-    record(server.name() + " " + kNames[kind]);
-    if (kind == 0 || kind == 4) server.refuse_every = 2;
-    if (kind == 1) server.lose_answer_every = 2;
-    if (kind == 2) server.when_full = FullPolicy::kHang;
-    if (kind == 3) server.when_full = FullPolicy::kReset;
-    if (kind == 4) each->proxy->set_fault(LinkFault::kRefusalsRepeated);
-    if (kind == 5) each->proxy->set_fault(LinkFault::kRefusedEarly);
-  }
-  run_after(random_duration(1000, 5000), [this, affected] {
-    for (Backend* each : affected) behave(*each);
-  });
-}
-
-void FaultInjector::behave(Backend& backend) {
-  backend.server->refuse_every = 0;
-  backend.server->lose_answer_every = 0;
-  backend.server->when_full = platform::FullPolicy::kRefuse;
-  LinkFault fault = backend.proxy->fault();
-  if (fault == LinkFault::kRefusalsRepeated ||
-      fault == LinkFault::kRefusedEarly) {
-    backend.proxy->set_fault(LinkFault::kNone);
+      return crash(backend, false);
   }
 }
 
@@ -279,7 +236,6 @@
   }
   for (Backend& backend : fleet_.backends()) {
     backend.proxy->set_fault(LinkFault::kNone);
-    behave(backend);
     if (!backend.server->up()) backend.server->start();
     fleet_.publish_entry(backend, "ready");
   }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -35,11 +35,6 @@
   void stop_and_start(Daemon& daemon);
   void kill_all(Duration down);
   void drain(Backend& backend);
-  /// For a while the server, or every one of the at-most-once service, refuses
-  /// requests, in odd ways too, loses answers, or does not answer what it has
-  /// no room for.
-  void misbehave(Backend& backend);
-  void behave(Backend& backend);
   void crash(Backend& backend, bool restarts_at_once);
 
   std::uint32_t random_below(std::uint32_t limit);
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -7,6 +7,7 @@
 #include "tests/soak/callers.h"
 #include "tests/soak/faults.h"
 #include "tests/soak/fleet.h"
+#include "tests/soak/misbehavior.h"
 
 /// Runs the real program on loopback under randomized faults.
 namespace eelgrasspin::soak {
@@ -70,11 +71,14 @@
     guarantees.not_recovered("the start");
   }
   FaultInjector faults(fleet, seed);
+  ServerMisbehavior misbehavior(fleet, seed);
   run_for(fleet, seconds(plan.seconds_of_faults));
   faults.stop();
+  misbehavior.stop();
   // Processes that were ordered to stop exit in this time.
   run_for(fleet, seconds(7));
   faults.heal();
+  misbehavior.heal();
   for (Daemon& daemon : fleet.daemons())
     (void)callers.take_served_count(daemon);
   if (!wait_until_all_serve(fleet, callers, kRecoveryLimit))
@@ -85,16 +89,18 @@
   bool kept = guarantees.violations().empty();
   std::cout << "seed " << seed << ": " << (kept ? "kept" : "BROKEN")
             << ", requests=" << guarantees.requests()
-            << " served=" << guarantees.served()
-            << " faults=" << faults.history().size() << std::endl;
+            << " served=" << guarantees.served() << " faults="
+            << faults.history().size() + misbehavior.history().size()
+            << std::endl;
   for (const std::string& violation : guarantees.violations()) {
     std::cout << "  " << violation << "\n";
   }
   if (kept) {
     std::filesystem::remove_all(folder);
   } else {
-    for (const std::string& fault : faults.history()) {
-      std::cout << "    " << fault << "\n";
+    for (const auto* history : {&faults.history(), &misbehavior.history()}) {
+      for (const std::string& fault : *history)
+        std::cout << "    " << fault << "\n";
     }
     std::cout << "  logs: " << folder << std::endl;
   }
--- a/tests/soak/proxy.cc
+++ b/tests/soak/proxy.cc
@@ -130,8 +130,9 @@
       bool repeat = proxy_->fault_ == LinkFault::kRefusalsRepeated;
       repeated_ = repeat && is_refusal(data) ? std::string(data) : "";
     } else if (!repeated_.empty()) {
-      names_request_ = !names_request_;
-      inject(names_request_ ? repeated_ : without_request_id(repeated_));
+      bool name_request = std::exchange(proxy_->copies_name_request_,
+                                        !proxy_->copies_name_request_);
+      inject(name_request ? repeated_ : without_request_id(repeated_));
       repeated_.clear();
     } else if (body_bytes_to_drop_ > 0) {
       body_bytes_to_drop_ -=
@@ -183,8 +184,6 @@
   bool silent_ = false;
   bool answers_lost_ = false;
   std::string repeated_;  ///< Sent when the next request arrives.
-  bool names_request_ =
-      false;  ///< The last repeated refusal named its request.
   std::uint64_t body_bytes_to_drop_ = 0;
 };
 
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -56,6 +56,7 @@
   std::set<std::shared_ptr<Connection>> connections_;
   LinkFault fault_ = LinkFault::kNone;
   Duration delay_{0};
+  bool copies_name_request_ = false;  ///< The next copy of a refusal does.
 };
 
 }  // namespace eelgrasspin::soak
