Bound what callers, servers and the store can make a daemon hold

The pool that sends callers' requests had a limit of its own, 32 MB whatever the machine has; the pool of orders had another such limit, the store's answers had 16 MB each without a common one, and callers' bodies none (64 MB are allowed), each held twice and copied twice more on the way.

Change: shares of memoryMb over all connections, for bodies of callers' requests, servers' answers, the store's answers and answers to orders (memory_limits.h, ByteBudget). A caller's body is held once and written from where it was received. One that has no room is refused with 503 while it arrives, at once if it is longer than the share. What is left of a request that is refused, or of an answer whose connection is closed, is freed at once. The ready and metrics ports take bodies of 1 KB.

Not covered: answers that wait for slow callers, each held until it is written.

--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -29,6 +29,8 @@
   /// that share, also for all daemons together.
   std::uint32_t retry_slack = 60;
   Duration retry_window = seconds(10);
+  /// Bytes of memory that the process may use.
+  std::size_t memory_limit = std::size_t{256} << 20;
 };
 
 }  // namespace eelgrasspin::fleet
--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -45,10 +45,9 @@
 
 }  // namespace
 
-BackendPool::BackendPool(boost::asio::io_context& io)
-    : io_(io),
-      memory_(std::make_shared<ResponseMemory>(
-          ResponseMemory{config::kMaxPoolAnswerBytes, 0})) {}
+BackendPool::BackendPool(boost::asio::io_context& io,
+                         std::size_t max_response_bytes)
+    : io_(io), budget_(std::make_shared<ByteBudget>(max_response_bytes)) {}
 
 BackendPool::~BackendPool() {
   for (const auto& [number, busy] : busy_) busy.connection->close();
@@ -70,7 +69,7 @@
 
 BackendPool::Busy BackendPool::new_connection(const Endpoint& address) {
   ++connections_made_;
-  return {make_http_connection(io_, address, memory_)};
+  return {make_http_connection(io_, address, budget_)};
 }
 
 bool BackendPool::may_reuse(const Idle& idle, bool repeatable,
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -34,7 +34,12 @@
   };
   using Callback = std::function<void(HttpResult, const ConnectionUse&)>;
 
-  explicit BackendPool(boost::asio::io_context& io);
+  /// All responses that are being read have bodies of `max_response_bytes`
+  /// together at most; beyond it, those larger than config::kMinAnswerBytes
+  /// fail.
+  explicit BackendPool(
+      boost::asio::io_context& io,
+      std::size_t max_response_bytes = config::kMaxPoolAnswerBytes);
   ~BackendPool();
   BackendPool(const BackendPool&) = delete;
   BackendPool& operator=(const BackendPool&) = delete;
@@ -47,7 +52,7 @@
   void close_expired();
   std::uint64_t connections_made() const { return connections_made_; }
   /// Bytes of the response bodies that are being read.
-  std::size_t response_bytes() const { return memory_->used; }
+  std::size_t response_bytes() const { return budget_->used(); }
 
  private:
   struct Idle {
@@ -73,7 +78,7 @@
   void record_stale_connection(const Busy& busy, const HttpResult& result);
 
   boost::asio::io_context& io_;
-  std::shared_ptr<ResponseMemory> memory_;
+  std::shared_ptr<ByteBudget> budget_;
   std::map<Endpoint, std::vector<Idle>> idle_;
   std::map<std::uint64_t, Busy> busy_;
   /// Shortest recent idle time after which a server had dropped a connection
--- a/src/io/fleet_ports.h
+++ b/src/io/fleet_ports.h
@@ -128,7 +128,8 @@
       const HttpRequest& request) const = 0;
   /// The id that the caller has given its request; empty if it has none.
   virtual std::string caller_request_id(const HttpRequest& request) const = 0;
-  /// Builds the request that is forwarded to the server of `attempt`.
+  /// Builds the head of the request that is forwarded to the server of
+  /// `attempt`. The body is forwarded as it is.
   virtual HttpRequest make_server_request(
       const HttpRequest& request, const fleet::SendAttempt& attempt) const = 0;
   /// Whether a server's response belongs to the request with this id.
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -10,6 +10,7 @@
 #include "fleet/registry.h"
 #include "io/endpoint.h"
 #include "io/log.h"
+#include "io/memory_limits.h"
 #include "io/metrics.h"
 #include "io/request_fingerprint.h"
 
@@ -22,6 +23,8 @@
 namespace {
 
 constexpr std::size_t kMaxDatagramBytes = 60'000;
+constexpr std::size_t kMaxSmallRequestBodyBytes = 1024;
+constexpr int kUnavailable = 503;
 /// Twice the requests per second of a busy daemon.
 constexpr std::uint32_t kMaxLogLinesPerKindPerSecond = 100;
 /// Interval of closing expired connections and logging dropped log lines.
@@ -39,6 +42,13 @@
                        std::chrono::nanoseconds(now.tv_nsec)));
 }
 
+/// For ports whose requests have no body.
+HttpServerOptions small_request_options() {
+  HttpServerOptions options;
+  options.max_body_bytes = kMaxSmallRequestBodyBytes;
+  return options;
+}
+
 }  // namespace
 
 FleetShell::FleetShell(asio::io_context& io, fleet::Settings settings,
@@ -54,17 +64,17 @@
       state_(fleet::make_state(settings_, boottime_now())),
       store_feed_(io, store, settings_,
                   [this](const fleet::Event& event) { apply(event); }),
-      backend_pool_(io),
+      backend_pool_(io, memory_limits(settings_.memory_limit).answers),
       caller_server_(io, caller_server_options(),
                      [this](const std::shared_ptr<HttpExchange>& exchange) {
                        on_caller_request(exchange);
                      }),
       ready_server_(
-          io, {},
+          io, small_request_options(),
           [this](const std::shared_ptr<HttpExchange>& exchange) {
             exchange->answer({fleet::is_ready(state_) ? 200 : 503, {}, {}});
           }),
-      metrics_server_(io, {},
+      metrics_server_(io, small_request_options(),
                       [this](const std::shared_ptr<HttpExchange>& exchange) {
                         on_metrics(exchange);
                       }),
@@ -75,6 +85,8 @@
 
 HttpServerOptions FleetShell::caller_server_options() {
   HttpServerOptions options;
+  options.max_total_body_bytes =
+      memory_limits(settings_.memory_limit).request_bodies;
   options.make_refusal = [this](int status, const std::string& why,
                                 const HttpRequest& received) {
     std::string id = format_.caller_request_id(received);
@@ -83,7 +95,10 @@
                                   {"status", std::to_string(status)},
                                   {"from", received.remote.str()},
                                   {"why", why}}});
-    return format_.make_router_response(id, status, Duration(0), why);
+    // Memory is short only until other requests have ended.
+    Duration retry_after =
+        status == kUnavailable ? fleet::config::kMinRetryAfter : Duration(0);
+    return format_.make_router_response(id, status, retry_after, why);
   };
   return options;
 }
@@ -248,8 +263,12 @@
   auto open = open_requests_.find(attempt.request);
   if (open == open_requests_.end()) return;
   std::string caller_request_id = open->second.caller_request_id;
+  const std::shared_ptr<HttpExchange>& exchange = open->second.exchange;
+  HttpRequest request =
+      format_.make_server_request(exchange->request(), attempt);
+  request.shared_body = {exchange, &exchange->request().body};
   BackendPool::Call call{
-      format_.make_server_request(open->second.exchange->request(), attempt),
+      std::move(request),
       attempt.address,
       attempt.response_timeout,
       attempt.repeatable,
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <optional>
@@ -24,8 +25,9 @@
 constexpr std::size_t kReadChunkBytes = 16 * 1024;
 constexpr std::size_t kMaxIdlePerClient = 4;
 
-using Request = http::request<http::string_body>;
+using Request = http::request<http::span_body<const char>>;
 
+/// The body belongs to `request`.
 Request to_beast_request(const HttpRequest& request, const Endpoint& endpoint) {
   Request message;
   message.version(11);
@@ -35,7 +37,9 @@
     message.set(http::field::host, endpoint.str());
   }
   for (const auto& [name, value] : request.headers) message.insert(name, value);
-  message.body() = request.body;
+  const std::string& body =
+      request.shared_body ? *request.shared_body : request.body;
+  message.body() = beast::span<const char>(body.data(), body.size());
   message.prepare_payload();
   return message;
 }
@@ -44,13 +48,13 @@
                    public std::enable_shared_from_this<Connection> {
  public:
   Connection(asio::io_context& io, const Endpoint& endpoint,
-             std::shared_ptr<ResponseMemory> memory)
+             std::shared_ptr<ByteBudget> budget)
       : socket_(io),
         timer_(io),
         endpoint_(endpoint),
         buffer_(kMaxBufferBytes),
-        memory_(std::move(memory)) {}
-  ~Connection() override { set_memory_used(0); }
+        body_share_(std::move(budget)) {}
+  ~Connection() override = default;
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
@@ -58,7 +62,7 @@
                 HttpCallback done) override {
     done_ = std::move(done);
     is_head_request_ = request.method == "HEAD";
-    message_.emplace(to_beast_request(request, endpoint_));
+    request_ = std::make_shared<HttpRequest>(request);
     start_timer(timeout);
     if (phase_ == Phase::kNew) return connect(timeout);
     send();
@@ -90,17 +94,6 @@
   static constexpr std::size_t kMaxBufferBytes =
       config::kMaxHeaderBytes + kReadChunkBytes;
 
-  void set_memory_used(std::size_t bytes) {
-    if (!memory_) return;
-    memory_->used = memory_->used - memory_used_ + bytes;
-    memory_used_ = bytes;
-  }
-
-  bool exceeds_memory() const {
-    return memory_ && memory_->used > memory_->limit &&
-           memory_used_ > config::kMinAnswerBytes;
-  }
-
   /// A connection that ends within an exchange is reset, which discards what
   /// the server has not received yet. Otherwise the kernel would still deliver
   /// the request, seconds later if the path is interrupted.
@@ -108,7 +101,8 @@
     error_code ignored;
     if (phase_ != Phase::kSending) set_reset_on_close(false);
     phase_ = Phase::kClosed;
-    set_memory_used(0);
+    body_share_.set(0);
+    parser_.reset();
     timer_.cancel();
     socket_.close(ignored);
   }
@@ -172,13 +166,13 @@
     first_byte_seen_ = false;
     writing_ = true;
     new_parser();
-    auto outgoing = std::make_shared<Request>(std::move(*message_));
-    message_.reset();
+    auto request = std::exchange(request_, nullptr);
+    auto message =
+        std::make_shared<Request>(to_beast_request(*request, endpoint_));
     http::async_write(
-        socket_, *outgoing,
-        [self = shared_from_this(), outgoing](error_code failed, std::size_t) {
-          self->on_sent(failed);
-        });
+        socket_, *message,
+        [self = shared_from_this(), request, message](
+            error_code failed, std::size_t) { self->on_sent(failed); });
     read_more();
   }
 
@@ -191,7 +185,7 @@
   }
 
   void new_parser() {
-    set_memory_used(0);
+    body_share_.set(0);
     parser_.emplace();
     parser_->header_limit(config::kMaxHeaderBytes);
     parser_->body_limit(config::kMaxAnswerBytes);
@@ -232,8 +226,8 @@
     buffer_.consume(parser_->put(buffer_.data(), failed));
     if (failed == http::error::need_more) failed = {};
     if (failed) return fail(HttpFailureKind::kTruncated, failed.message());
-    set_memory_used(parser_->get().body().size());
-    if (exceeds_memory()) {
+    body_share_.set(parser_->get().body().size());
+    if (body_share_.exceeds(config::kMinAnswerBytes)) {
       return fail(HttpFailureKind::kTruncated, "responses exceed the memory");
     }
     if (!parser_->is_done()) {
@@ -262,7 +256,7 @@
 
   void finish() {
     auto message = parser_->release();
-    set_memory_used(0);
+    body_share_.set(0);
     HttpResponse response{
         static_cast<int>(message.result_int()), {}, {}, false};
     for (const auto& field : message.base()) {
@@ -308,9 +302,8 @@
   asio::steady_timer timer_;
   Endpoint endpoint_;
   beast::flat_buffer buffer_;
-  std::shared_ptr<ResponseMemory> memory_;
-  std::size_t memory_used_ = 0;  ///< Of `memory_`, by this connection.
-  std::optional<Request> message_;
+  ByteShare body_share_;  ///< Of the response that is being read.
+  std::shared_ptr<const HttpRequest> request_;  ///< Until it is sent.
   std::optional<http::response_parser<http::string_body>> parser_;
   HttpCallback done_;
   HttpResponseCheck matches_request_;
@@ -334,13 +327,15 @@
 
 std::shared_ptr<HttpConnection> make_http_connection(
     asio::io_context& io, const Endpoint& endpoint,
-    std::shared_ptr<ResponseMemory> memory) {
-  return std::make_shared<Connection>(io, endpoint, std::move(memory));
+    std::shared_ptr<ByteBudget> budget) {
+  return std::make_shared<Connection>(io, endpoint, std::move(budget));
 }
 
-HttpClient::HttpClient(asio::io_context& io, Endpoint endpoint)
+HttpClient::HttpClient(asio::io_context& io, Endpoint endpoint,
+                       std::shared_ptr<ByteBudget> budget)
     : io_(io),
       endpoint_(std::move(endpoint)),
+      budget_(std::move(budget)),
       connections_(
           std::make_shared<std::vector<std::shared_ptr<HttpConnection>>>()) {}
 
@@ -360,7 +355,7 @@
     }
     connection->close();
   }
-  return make_http_connection(io_, endpoint_);
+  return make_http_connection(io_, endpoint_, budget_);
 }
 
 void HttpClient::call(const HttpRequest& request, Duration timeout,
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -13,6 +13,7 @@
 #include "eelgrasspin/ids.h"
 #include "eelgrasspin/result.h"
 #include "eelgrasspin/units.h"
+#include "io/byte_budget.h"
 #include "io/http_types.h"
 
 namespace eelgrasspin::io {
@@ -67,17 +68,11 @@
   virtual TimePoint last_response_time() const = 0;
 };
 
-/// Memory for the response bodies that several connections are reading.
-struct ResponseMemory {
-  std::size_t limit = 0;
-  std::size_t used = 0;
-};
-
-/// `memory` bounds the response bodies of all connections that share it; null:
+/// `budget` bounds the response bodies of all connections that share it; null:
 /// each has the limit of its own only.
 std::shared_ptr<HttpConnection> make_http_connection(
     boost::asio::io_context& io, const Endpoint& endpoint,
-    std::shared_ptr<ResponseMemory> memory = nullptr);
+    std::shared_ptr<ByteBudget> budget = nullptr);
 
 /// Current time of the steady clock.
 TimePoint steady_now();
@@ -86,7 +81,10 @@
 /// ends in exactly one callback; no request is sent twice.
 class HttpClient {
  public:
-  HttpClient(boost::asio::io_context& io, Endpoint endpoint);
+  /// `budget` bounds the response bodies that are being read; null: each has
+  /// the limit of its own only.
+  HttpClient(boost::asio::io_context& io, Endpoint endpoint,
+             std::shared_ptr<ByteBudget> budget = nullptr);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -99,6 +97,7 @@
 
   boost::asio::io_context& io_;
   Endpoint endpoint_;
+  std::shared_ptr<ByteBudget> budget_;
   std::shared_ptr<std::vector<std::shared_ptr<HttpConnection>>> connections_;
 };
 
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -11,6 +11,7 @@
 #include <set>
 #include <utility>
 
+#include "io/byte_budget.h"
 #include "io/endpoint.h"
 
 namespace eelgrasspin::io {
@@ -34,7 +35,11 @@
       : io(io_context),
         acceptor(io_context),
         options(std::move(opts)),
-        handler(std::move(handle)) {}
+        handler(std::move(handle)) {
+    if (options.max_total_body_bytes > 0) {
+      body_budget = std::make_shared<ByteBudget>(options.max_total_body_bytes);
+    }
+  }
 
   void accept();
   HttpResponse make_refusal(int status, std::string why,
@@ -44,6 +49,7 @@
   tcp::acceptor acceptor;
   HttpServerOptions options;
   Handler handler;
+  std::shared_ptr<ByteBudget> body_budget;  ///< Null: no limit.
   std::set<std::shared_ptr<Connection>> connections;
   std::size_t open_exchanges = 0;
   bool closing = false;
@@ -98,11 +104,15 @@
 class Exchange : public HttpExchange {
  public:
   Exchange(std::weak_ptr<Connection> connection, HttpRequest request,
-           bool keep_alive, bool is_head_request)
+           std::shared_ptr<ByteBudget> body_budget, bool keep_alive,
+           bool is_head_request)
       : connection_(std::move(connection)),
         request_(std::move(request)),
+        body_share_(std::move(body_budget)),
         keep_alive_(keep_alive),
-        is_head_request_(is_head_request) {}
+        is_head_request_(is_head_request) {
+    body_share_.set(request_.body.size());
+  }
 
   HttpRequest& request() override { return request_; }
   void answer(HttpResponse response) override;
@@ -119,7 +129,8 @@
     return std::exchange(on_abandoned_, nullptr);
   }
 
-  const std::optional<HttpResponse>& response() const { return response_; }
+  bool has_response() const { return response_.has_value(); }
+  HttpResponse take_response() { return std::move(*response_); }
   const std::optional<std::string>& raw_bytes() const { return raw_bytes_; }
   bool finished() const { return response_ || raw_bytes_; }
   bool keep_alive() const { return keep_alive_; }
@@ -128,6 +139,7 @@
  private:
   std::weak_ptr<Connection> connection_;
   HttpRequest request_;
+  ByteShare body_share_;
   std::function<void()> on_abandoned_;
   std::optional<HttpResponse> response_;
   std::optional<std::string> raw_bytes_;
@@ -144,6 +156,7 @@
       : server_(std::move(server)),
         socket_(std::move(socket)),
         timer_(socket_.get_executor()),
+        received_share_(server_->body_budget),
         buffer_(server_->options.max_header_bytes + kReadChunkBytes) {}
 
   void start() {
@@ -160,7 +173,7 @@
     if (writing_ || closed_ || exchanges_.empty()) return;
     Exchange& first = *exchanges_.front();
     if (first.raw_bytes()) return send_raw(*first.raw_bytes());
-    if (first.response()) send(first);
+    if (first.has_response()) send(first);
   }
 
   void close() {
@@ -170,6 +183,7 @@
     error_code ignored;
     timer_.cancel();
     socket_.close(ignored);
+    drop_received();
     server_->connections.erase(self);
     auto exchanges = std::move(exchanges_);
     exchanges_.clear();
@@ -210,8 +224,15 @@
     }
   }
 
+  /// Frees what has been received of a request that will not be handled.
+  void drop_received() {
+    received_share_.set(0);
+    parser_.reset();
+  }
+
   void start_parser() {
     receiving_ = false;
+    received_share_.set(0);
     parser_.emplace();
     parser_->header_limit(
         static_cast<std::uint32_t>(server_->options.max_header_bytes));
@@ -280,10 +301,15 @@
       head_checked_ = true;
       std::string why = framing_error(parser_->get().base());
       if (!why.empty()) return refuse(400, std::move(why));
+      if (!received_share_.could_hold(parser_->content_length().value_or(0)))
+        return refuse(503, "no memory for a body of this length");
       if (!parser_->is_done()) send_continue();
     }
     if (failed == http::error::need_more) failed = {};
     if (failed) return refuse(refusal_status(failed), failed.message());
+    received_share_.set(parser_->get().body().size());
+    if (received_share_.exceeds(config::kMinAnswerBytes))
+      return refuse(503, "too many bodies are being received");
     if (parser_->is_done()) return dispatch();
     if (buffer_.size() >= buffer_.max_size()) {
       return refuse(431, "header too large");
@@ -304,8 +330,10 @@
 
   std::shared_ptr<Exchange> add(HttpRequest request, bool keep_alive,
                                 bool is_head_request) {
+    received_share_.set(0);
     auto exchange = std::make_shared<Exchange>(
-        weak_from_this(), std::move(request), keep_alive, is_head_request);
+        weak_from_this(), std::move(request), server_->body_budget, keep_alive,
+        is_head_request);
     exchanges_.push_back(exchange);
     ++server_->open_exchanges;
     return exchange;
@@ -344,6 +372,7 @@
     HttpResponse refusal =
         server_->make_refusal(status, std::move(why), received);
     refusal.close = true;
+    drop_received();
     add({}, false, false)->answer(std::move(refusal));
   }
 
@@ -354,10 +383,10 @@
                           error_code, std::size_t) { self->abort(); });
   }
 
-  void send(const Exchange& exchange) {
+  void send(Exchange& exchange) {
     if (stalled_) return;
     writing_ = true;
-    const HttpResponse& response = *exchange.response();
+    HttpResponse response = exchange.take_response();
     auto message = std::make_shared<http::response<http::string_body>>();
     message->version(11);
     message->result(static_cast<unsigned>(response.status));
@@ -371,7 +400,7 @@
     if (close_after_response_) stop_parsing_ = true;
     message->keep_alive(!close_after_response_);
     bool without_body = response.status == 204 || response.status == 304;
-    message->body() = without_body ? std::string() : response.body;
+    if (!without_body) message->body() = std::move(response.body);
     if (!without_body && !exchange.is_head_request())
       message->prepare_payload();
     if (exchange.is_head_request()) message->body().clear();
@@ -419,6 +448,7 @@
   std::shared_ptr<HttpServer::Impl> server_;
   tcp::socket socket_;
   asio::steady_timer timer_;
+  ByteShare received_share_;  ///< Of the request that is being received.
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   std::deque<std::shared_ptr<Exchange>> exchanges_;
@@ -548,4 +578,8 @@
 
 std::size_t HttpServer::open_exchanges() const { return impl_->open_exchanges; }
 
+std::size_t HttpServer::body_bytes() const {
+  return impl_->body_budget ? impl_->body_budget->used() : 0;
+}
+
 }  // namespace eelgrasspin::io
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -34,6 +34,10 @@
   std::size_t max_header_bytes = config::kMaxHeaderBytes;
   std::size_t max_body_bytes = config::kMaxBodyBytes;
   std::size_t max_connections = config::kMaxCallerConnections;
+  /// Bodies of all requests that have not been answered. Beyond it, requests
+  /// with a body larger than config::kMinAnswerBytes are refused with 503 while
+  /// they are received. 0: no limit.
+  std::size_t max_total_body_bytes = 0;
   /// Longest time from the first byte of a request to its last.
   Duration receive_timeout = config::kRequestReceiveTimeout;
   /// Longest time a connection stays open without a request.
@@ -79,6 +83,8 @@
   std::size_t connections() const;
   /// Number of requests whose response has not been sent completely.
   std::size_t open_exchanges() const;
+  /// Bytes of the bodies of these requests, and of those being received.
+  std::size_t body_bytes() const;
 
   struct Impl;
 
--- a/src/io/http_types.h
+++ b/src/io/http_types.h
@@ -2,6 +2,7 @@
 #define EELGRASSPIN_IO_HTTP_TYPES_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +22,8 @@
   HeaderFields headers;
   std::string body;
   Endpoint remote;  ///< Address of the sender; empty on the client side.
+  /// Sent in place of `body` if set, without a copy.
+  std::shared_ptr<const std::string> shared_body;
 };
 
 struct HttpResponse {
--- /dev/null
+++ b/src/io/memory_limits.h
@@ -0,0 +1,26 @@
+#ifndef EELGRASSPIN_IO_MEMORY_LIMITS_H_
+#define EELGRASSPIN_IO_MEMORY_LIMITS_H_
+
+#include <cstddef>
+
+namespace eelgrasspin::io {
+
+/// Bytes that a daemon holds at most of what others send it. While a body of
+/// unknown length grows it takes up to twice its size, and the JSON values of
+/// the store's answers more; the rest of the memory is for these, and for what
+/// the daemon keeps.
+struct MemoryLimits {
+  std::size_t request_bodies;  ///< Callers' requests, until they are answered.
+  std::size_t answers;         ///< Backend servers' answers being read.
+  std::size_t store_answers;   ///< The store's answers being read.
+  std::size_t order_answers;   ///< Answers to orders being read.
+};
+
+constexpr MemoryLimits memory_limits(std::size_t process_limit) {
+  return {process_limit / 4, process_limit / 16, process_limit / 32,
+          process_limit / 128};
+}
+
+}  // namespace eelgrasspin::io
+
+#endif  // EELGRASSPIN_IO_MEMORY_LIMITS_H_
