--- a/tests/io_test_util.h
+++ b/tests/io_test_util.h
@@ -64,8 +64,7 @@
 
   void close() { socket_.close(); }
 
- private:
-  /// False at the end of the stream.
+  /// Appends what has been received. False at the end of the stream.
   bool read_some(std::string& received) {
     char chunk[4096];
     boost::system::error_code failed;
@@ -74,6 +73,7 @@
     return !failed || failed == boost::asio::error::would_block;
   }
 
+ private:
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::socket socket_;
 };
