--- a/src/io/http_types.cc
+++ b/src/io/http_types.cc
@@ -48,6 +48,12 @@
 
 }  // namespace
 
+std::string lower_case(std::string_view text) {
+  std::string result(text);
+  std::transform(result.begin(), result.end(), result.begin(), lower);
+  return result;
+}
+
 bool equal_ignoring_case(std::string_view left, std::string_view right) {
   return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                     [](char a, char b) { return lower(a) == lower(b); });
--- a/src/io/http_types.h
+++ b/src/io/http_types.h
@@ -39,6 +39,8 @@
                                std::string_view name);
 std::size_t count_headers(const HeaderFields& headers, std::string_view name);
 bool equal_ignoring_case(std::string_view left, std::string_view right);
+/// ASCII letters in lower case.
+std::string lower_case(std::string_view text);
 
 /// Whether the field concerns a single connection and is not forwarded.
 bool is_hop_by_hop(std::string_view name);
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -3,6 +3,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "codec/fleet_json.h"
+#include "fleet/requests.h"
 #include "names.h"
 #include "objects.h"
 #include "request_format.h"
@@ -88,6 +89,17 @@
   EXPECT_EQ(read.limits.idle_timeout, seconds(15));
 }
 
+TEST(PlatformObjects, HostsOfRoutesMatchInAnyCase) {
+  std::string text = kConfiguration;
+  text.replace(text.find("a.example"), 9, "A.Example");
+  auto read = read_configuration(text);
+  ASSERT_TRUE(ok(read));
+  auto head = HeaderFormat().read_caller_request(
+      {"GET", "/x/1", {{"Host", "a.EXAMPLE:80"}}, "", {}});
+  ASSERT_TRUE(ok(head));
+  EXPECT_NE(fleet::find_route(value(read), value(head).host, "/x/1"), nullptr);
+}
+
 TEST(PlatformObjects, IncompleteOrInvalidConfigurationIsRejected) {
   std::string text = kConfiguration;
   auto accepts_changed = [&](const std::string& from, const std::string& to) {
