Metrics of the bodies that are held, and a name for small ones

The bounds on memory can be watched: fleet_request_body_bytes and fleet_answer_body_bytes. The server has a constant of its own for bodies that always pass. No decision changes.

--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -397,6 +397,12 @@
                     {"fleet_backend_connections_made",
                      "Connections made to backend servers",
                      static_cast<double>(backend_pool_.connections_made())},
+                    {"fleet_request_body_bytes",
+                     "Bodies of requests that have not been answered",
+                     static_cast<double>(caller_server_.body_bytes())},
+                    {"fleet_answer_body_bytes",
+                     "Bodies of backend servers' answers that are being read",
+                     static_cast<double>(backend_pool_.response_bytes())},
                     {"fleet_log_lines_lost",
                      "Log lines left out because the reader was too slow",
                      static_cast<double>(log_lines_dropped())}}) +
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -24,6 +24,8 @@
 
 namespace {
 constexpr std::size_t kReadChunkBytes = 16 * 1024;
+/// Bodies up to this size are received although all bodies exceed their limit.
+constexpr std::size_t kSmallBodyBytes = 64 * 1024;
 constexpr Duration kDiscardInputTimeout = milliseconds(500);
 /// Requests of one connection that are handled concurrently.
 constexpr std::size_t kMaxPipelinedRequests = 16;
@@ -308,7 +310,7 @@
     if (failed == http::error::need_more) failed = {};
     if (failed) return refuse(refusal_status(failed), failed.message());
     received_share_.set(parser_->get().body().size());
-    if (received_share_.exceeds(config::kMinAnswerBytes))
+    if (received_share_.exceeds(kSmallBodyBytes))
       return refuse(503, "too many bodies are being received");
     if (parser_->is_done()) return dispatch();
     if (buffer_.size() >= buffer_.max_size()) {
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -34,9 +34,9 @@
   std::size_t max_header_bytes = config::kMaxHeaderBytes;
   std::size_t max_body_bytes = config::kMaxBodyBytes;
   std::size_t max_connections = config::kMaxCallerConnections;
-  /// Bodies of all requests that have not been answered. Beyond it, requests
-  /// with a body larger than config::kMinAnswerBytes are refused with 503 while
-  /// they are received. 0: no limit.
+  /// Limit of the bodies of all requests that have not been answered. Beyond
+  /// it, requests are refused with 503 while they are received, but for those
+  /// with a body of up to 64 KB. 0: no limit.
   std::size_t max_total_body_bytes = 0;
   /// Longest time from the first byte of a request to its last.
   Duration receive_timeout = config::kRequestReceiveTimeout;
