--- a/tests/pipeline_property_test.cc
+++ b/tests/pipeline_property_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <deque>
 #include <string>
@@ -82,11 +83,12 @@
   // Answers are given at any time, so that the pipeline is full at some.
   auto pick = *rc::gen::container<std::vector<std::size_t>>(
       64, rc::gen::inRange<std::size_t>(0, 1000));
+  std::string_view unsent = bytes;
   std::size_t step = 0;
-  for (std::size_t at = 0; at < bytes.size();) {
+  while (!unsent.empty()) {
     std::size_t part = 1 + (pick[step % pick.size()] * 7919) % most;
-    client.send(std::string_view(bytes).substr(at, part));
-    at += part;
+    client.send(unsent.substr(0, part));
+    unsent.remove_prefix(std::min(part, unsent.size()));
     io.restart();
     io.poll();
     if (pick[++step % pick.size()] % 3 == 0)
--- a/tests/refusal_repeating_server.h
+++ b/tests/refusal_repeating_server.h
@@ -32,21 +32,21 @@
   const std::vector<std::string>& ran() const { return ran_; }
 
  private:
-  using tcp = boost::asio::ip::tcp;
   struct Peer {
-    explicit Peer(tcp::socket accepted) : socket(std::move(accepted)) {}
-    tcp::socket socket;
+    explicit Peer(boost::asio::ip::tcp::socket accepted)
+        : socket(std::move(accepted)) {}
+    boost::asio::ip::tcp::socket socket;
     std::array<char, 4096> buffer{};
     std::string refusal;
   };
 
   void accept() {
-    acceptor_.async_accept(
-        [this](boost::system::error_code failed, tcp::socket socket) {
-          if (failed) return;
-          read(peers_.emplace_back(std::move(socket)));
-          accept();
-        });
+    acceptor_.async_accept([this](boost::system::error_code failed,
+                                  boost::asio::ip::tcp::socket socket) {
+      if (failed) return;
+      read(peers_.emplace_back(std::move(socket)));
+      accept();
+    });
   }
 
   void read(Peer& peer) {
@@ -89,7 +89,7 @@
     boost::asio::write(peer.socket, boost::asio::buffer(bytes), ignored);
   }
 
-  tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::acceptor acceptor_;
   std::list<Peer> peers_;
   std::vector<std::string> ran_;
   bool refused_ = false;
