--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -428,7 +428,7 @@
     }
     const io::HttpRequest& request = exchange->request();
     const std::string* id = io::find_header(request.headers, kRequestIdHeader);
-    // A large body is not repeated, but its length is told.
+    // The answer to a large body holds its length instead.
     bool large = request.body.size() > kMaxRepeatedBodyBytes;
     exchange->answer(
         {200,
--- a/tests/refusal_promise_test.cc
+++ b/tests/refusal_promise_test.cc
@@ -3,7 +3,7 @@
 #include "tests/platform_processes.h"
 #include "tests/refusal_repeating_server.h"
 
-/// A caller is told that its request has not run only if that is so.
+/// A request that is answered "not run" has run nowhere.
 namespace eelgrasspin::platform {
 namespace {
 
--- a/tests/soak/misbehavior.cc
+++ b/tests/soak/misbehavior.cc
@@ -73,19 +73,19 @@
 void ServerMisbehavior::begin_random() {
   auto behavior = static_cast<Behavior>(random_below(kBehaviors));
   bool all = random_below(2) == 0;
-  std::vector<Backend*> candidates;
+  std::vector<Backend*> affected;
   for (Backend& backend : fleet_.backends()) {
     bool keyed = backend.service == kKeyedService;
     bool at_most_once = backend.service == kAtMostOnceService;
-    if (at_most_once || (keyed && !all)) candidates.push_back(&backend);
+    if (at_most_once || (keyed && !all)) affected.push_back(&backend);
   }
   if (!all) {
-    candidates = {candidates[random_below(
-        static_cast<std::uint32_t>(candidates.size()))]};
+    affected = {
+        affected[random_below(static_cast<std::uint32_t>(affected.size()))]};
   }
   Duration duration = milliseconds(
       kMinDurationMs + random_below(kMaxDurationMs - kMinDurationMs));
-  for (Backend* backend : candidates) {
+  for (Backend* backend : affected) {
     history_.push_back(std::to_string(to_ms(io::steady_now() - started_)) +
                        "ms " + backend->server->name() + " " +
                        kNames[static_cast<std::size_t>(behavior)]);
@@ -93,9 +93,9 @@
   }
   boost::asio::steady_timer& timer = ends_.emplace_back(fleet_.io());
   timer.expires_after(duration);
-  timer.async_wait([candidates](boost::system::error_code failed) {
+  timer.async_wait([affected](boost::system::error_code failed) {
     if (failed) return;
-    for (Backend* backend : candidates) end(*backend);
+    for (Backend* backend : affected) end(*backend);
   });
 }
 
--- a/tests/soak/misbehavior.h
+++ b/tests/soak/misbehavior.h
@@ -26,6 +26,7 @@
  private:
   void schedule_next();
   void begin_random();
+  /// Ends all behaviours of the server.
   static void end(Backend& backend);
   std::uint32_t random_below(std::uint32_t limit);
 
