Allowed regions, evacuations of zones and cold servers: decisions and wire

Cause: a route's allowed regions, the operator's evacuations of a zone and the low rate of servers after their start were not known to the fleet, so requests went to regions, zones and servers that must not get them. Change: Route::allowed_regions binds every send and the placement of keys; a third copy of the store lists evacuated zones, which relays repeat in their heartbeats; the time of a cold server is divided into turns of one request. Nothing changes where the configuration and the settings name none of these.

--- a/src/codec/fleet_json.cc
+++ b/src/codec/fleet_json.cc
@@ -147,6 +147,32 @@
   return reports;
 }
 
+/// Where no evacuations are ordered, the last two elements are absent.
+fleet::Heartbeat::View view_state_of(const json::array& parts) {
+  fleet::Heartbeat::View view{Version(number(parts.at(0))),
+                              Version(number(parts.at(1))),
+                              milliseconds(number(parts.at(2))),
+                              Version(),
+                              {}};
+  if (parts.size() <= 3) return view;
+  view.evacuations = Version(number(parts.at(3)));
+  for (const json::value& zone : parts.at(4).as_array())
+    view.evacuated_zones.emplace_back(view_of(zone));
+  return view;
+}
+
+json::array view_state_array(const fleet::Heartbeat::View& view) {
+  json::array parts = {view.configuration.value, view.servers.value,
+                       to_ms(view.age)};
+  if (view.evacuations.value == 0) return parts;
+  json::array zones;
+  for (const ZoneName& zone : view.evacuated_zones)
+    zones.emplace_back(zone.str());
+  parts.emplace_back(view.evacuations.value);
+  parts.emplace_back(std::move(zones));
+  return parts;
+}
+
 fleet::Heartbeat heartbeat_of(const json::object& object) {
   fleet::Heartbeat heartbeat;
   if (const json::value* daemon = object.if_contains("daemon")) {
@@ -175,9 +201,7 @@
   heartbeat.limits = limits_of(object);
   if (const json::value* view = object.if_contains("view")) {
     const json::array& parts = view->as_array();
-    heartbeat.view = fleet::Heartbeat::View{Version(number(parts.at(0))),
-                                            Version(number(parts.at(1))),
-                                            milliseconds(number(parts.at(2)))};
+    heartbeat.view = view_state_of(parts);
   }
   if (const json::value* key_load_reports = object.if_contains("heats")) {
     for (const json::value& value : key_load_reports->as_array()) {
@@ -188,6 +212,10 @@
     for (const json::value& value : leaving->as_array())
       heartbeat.leaving_servers.push_back(server_incarnation_of(value));
   }
+  if (const json::value* servers = object.if_contains("unreachable")) {
+    for (const json::value& value : servers->as_array())
+      heartbeat.unreachable_servers.push_back(server_incarnation_of(value));
+  }
   if (const json::value* strikes = object.if_contains("strikes")) {
     for (const json::value& value : strikes->as_array()) {
       const json::array& parts = value.as_array();
@@ -339,6 +367,12 @@
       leaving.push_back(server_incarnation_array(server));
     object["leaving"] = std::move(leaving);
   }
+  if (!heartbeat.unreachable_servers.empty()) {
+    json::array servers;
+    for (const fleet::ServerIncarnation& server : heartbeat.unreachable_servers)
+      servers.push_back(server_incarnation_array(server));
+    object["unreachable"] = std::move(servers);
+  }
   if (!heartbeat.strikes.empty()) {
     json::array strikes;
     for (const fleet::Strike& strike : heartbeat.strikes) {
@@ -349,9 +383,7 @@
     object["strikes"] = std::move(strikes);
   }
   if (heartbeat.view) {
-    object["view"] =
-        json::array{heartbeat.view->configuration.value,
-                    heartbeat.view->servers.value, to_ms(heartbeat.view->age)};
+    object["view"] = view_state_array(*heartbeat.view);
   }
   if (heartbeat.age.count() > 0) object["age_ms"] = to_ms(heartbeat.age);
   return object;
--- a/src/codec/store_update_json.cc
+++ b/src/codec/store_update_json.cc
@@ -40,9 +40,16 @@
     destinations.push_back(
         json::array{destination.service.str(), destination.weight});
   }
-  return {route.name,           route.host,     route.prefix,
-          route.repeatable,     route.priority, to_ms(route.objective),
-          to_ms(route.timeout), route.attempts, std::move(destinations)};
+  json::array parts = {
+      route.name,           route.host,     route.prefix,
+      route.repeatable,     route.priority, to_ms(route.objective),
+      to_ms(route.timeout), route.attempts, std::move(destinations)};
+  if (route.allowed_regions.empty()) return parts;
+  json::array regions;
+  for (const RegionName& region : route.allowed_regions)
+    regions.emplace_back(region.str());
+  parts.emplace_back(std::move(regions));
+  return parts;
 }
 
 fleet::Route route_of(const json::array& parts) {
@@ -61,6 +68,11 @@
         {ServiceName(view_of(destination.at(0))),
          destination.at(1).to_number<std::uint32_t>()});
   }
+  // Absent if any region is allowed.
+  if (parts.size() > 9) {
+    for (const json::value& region : parts.at(9).as_array())
+      route.allowed_regions.emplace_back(view_of(region));
+  }
   // Reading the store never yields such a route, so one received from a daemon
   // is invalid.
   if (route.destinations.empty() || route.attempts == 0 ||
@@ -77,7 +89,9 @@
   }
   json::array services;
   for (const auto& [name, service] : configuration.services) {
-    services.push_back(json::array{name.str(), service.keyed});
+    services.push_back(json::array{name.str(), service.keyed,
+                                   service.cold_rate.per_second,
+                                   to_ms(service.cold_time)});
   }
   const fleet::CallerLimits& limits = configuration.limits;
   return {{"version", configuration.version},
@@ -88,6 +102,18 @@
                                  to_ms(limits.idle_timeout)}}};
 }
 
+fleet::Service service_of(const ServiceName& name, const json::array& parts) {
+  fleet::Service service;
+  service.name = name;
+  service.keyed = parts.at(1).as_bool();
+  // Earlier versions name no rate for cold servers.
+  if (parts.size() > 3) {
+    service.cold_rate = {parts.at(2).to_number<double>()};
+    service.cold_time = milliseconds(number(parts.at(3)));
+  }
+  return service;
+}
+
 std::shared_ptr<const fleet::Configuration> configuration_of(
     const json::object& object) {
   auto configuration = std::make_shared<fleet::Configuration>();
@@ -98,7 +124,7 @@
   for (const json::value& value : object.at("services").as_array()) {
     const json::array& service = value.as_array();
     ServiceName name(view_of(service.at(0)));
-    configuration->services[name] = {name, service.at(1).as_bool()};
+    configuration->services[name] = service_of(name, service);
   }
   const json::array& limits = object.at("limits").as_array();
   configuration->limits = {limits.at(0).to_number<std::size_t>(),
--- a/src/fleet/answers.cc
+++ b/src/fleet/answers.cc
@@ -133,8 +133,7 @@
     return answer(state, request, kBadGateway, Duration(0), reason, now,
                   effects);
   }
-  std::vector<Candidate> candidates =
-      all_candidates(state, request.service, now);
+  std::vector<Candidate> candidates = all_candidates(state, request, now);
   log_refusal(state, request, reason, candidates, now, effects);
   Duration retry_delay =
       refusal_retry_delay(state, request, std::move(candidates), now);
--- a/src/fleet/attempts.cc
+++ b/src/fleet/attempts.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "fleet/cold_servers.h"
 #include "fleet/learning.h"
 #include "fleet/log_event.h"
 #include "fleet/quarantine.h"
@@ -83,8 +84,10 @@
     record_outcome(server->second, false, now);
     server->second.blocked_until = now + config::kConnectBackoff;
   }
-  if (ended.no_listener)
+  if (ended.no_listener) {
     on_server_crash(state, server_of(request), now, effects);
+    on_connection_refused(state, server_of(request), now);
+  }
   --request.sends;  // Nothing reached the server.
   ++request.connect_failures;
   try_again(state, request, "no_connection", now, effects);
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -251,6 +251,16 @@
 /// Time for which heartbeats repeat that a server is leaving.
 inline constexpr Duration kLeavingReportTime = seconds(2);
 
+// Servers that have just started.
+/// Time after a refused connection in which a server may have started again
+/// without the registry showing it: servers register within a second, and the
+/// registry is read another second later.
+inline constexpr Duration kRestartSuspicionTime = milliseconds(2500);
+/// Time for which heartbeats repeat that a server has refused a connection.
+inline constexpr Duration kRestartReportTime = milliseconds(600);
+/// Maximum number of such servers in one heartbeat.
+inline constexpr std::size_t kMaxRestartReports = 64;
+
 // Limits that servers state.
 /// Window of the demand for a limited server.
 inline constexpr Duration kDemandWindow = seconds(1);
@@ -287,6 +297,9 @@
 /// age of its copy that it has lost the store, and still learn in time that a
 /// server is leaving.
 inline constexpr Duration kRelayWatchWait = seconds(1);
+/// Longest wait of a watch of the evacuations. They are rare, and a dead
+/// connection is still noticed within the time that the operator allows.
+inline constexpr Duration kEvacuationWatchWait = seconds(3);
 /// Age of the relay's copy above which a daemon watches the store itself: one
 /// watch, the pause between two watches, and two round trips.
 inline constexpr Duration kMaxRelayViewAge = milliseconds(1400);
--- a/src/fleet/dispatch.cc
+++ b/src/fleet/dispatch.cc
@@ -1,10 +1,12 @@
 #include <algorithm>
 
 #include "fleet/budget.h"
+#include "fleet/cold_servers.h"
 #include "fleet/duration.h"
 #include "fleet/learning.h"
 #include "fleet/log_event.h"
 #include "fleet/quarantine.h"
+#include "fleet/regions.h"
 #include "fleet/registry.h"
 #include "fleet/requests_p.h"
 #include "fleet/server_limits.h"
@@ -21,7 +23,9 @@
   kNoOwner,
   kFull,
   kBackoff,
-  kLimit
+  kLimit,
+  kOwnerRegion,
+  kCold
 };
 
 std::string_view reason_of(Unavailable why) {
@@ -36,6 +40,10 @@
       return "servers_in_backoff";
     case Unavailable::kLimit:
       return "server_limits";
+    case Unavailable::kOwnerRegion:
+      return "owner_region";
+    case Unavailable::kCold:
+      return "servers_cold";
   }
   return "unknown";
 }
@@ -62,6 +70,9 @@
   }
   if (denied_by(request, range->owner.name)) return Unavailable::kLimit;
   const ServerState& server = state.servers.at(range->owner.name);
+  if (!is_allowed(state.settings, *request.route, server.server.zone))
+    return Unavailable::kOwnerRegion;
+  if (!may_send_if_cold(state, server, now)) return Unavailable::kCold;
   if (now < server.backoff_until) return Unavailable::kBackoff;
   if (now < server.blocked_until) return Unavailable::kNoOwner;
   Candidate owner = candidate_of(state, server, now);
@@ -70,26 +81,41 @@
   return range->owner.name;
 }
 
+/// Whether the server may be sent requests of the route.
+bool is_usable(const State& state, const Route& route,
+               const ServerState& server, TimePoint now) {
+  return accepts_work(server) && accepts_requests(server, now) &&
+         is_allowed(state.settings, route, server.server.zone);
+}
+
+/// What a search for a server has found so far.
+struct Search {
+  std::vector<Candidate> candidates;
+  bool usable = false;  ///< A server may be sent requests.
+  bool cold = false;    ///< One could, but waits for its turn.
+};
+
 /// Adds the servers at one distance that the request has not been sent to yet.
-/// False if none of them may be sent requests.
-bool add_candidates(const State& state, const RequestState& request,
+void add_candidates(const State& state, const RequestState& request,
                     const std::vector<const ServerState*>& servers,
-                    TimePoint now, std::vector<Candidate>& candidates) {
-  bool usable = false;
+                    TimePoint now, Search& search) {
   for (const ServerState* server : servers) {
-    if (!accepts_work(*server) || !accepts_requests(*server, now)) continue;
-    usable = true;
+    if (!is_usable(state, *request.route, *server, now)) continue;
+    search.usable = true;
     if (std::find(request.tried_servers.begin(), request.tried_servers.end(),
                   server->server.name) != request.tried_servers.end() ||
         denied_by(request, server->server.name)) {
       continue;
     }
+    if (!may_send_if_cold(state, *server, now)) {
+      search.cold = true;
+      continue;
+    }
     Candidate candidate = candidate_of(state, *server, now);
     candidate.load -=
         std::min(candidate.load, retrying_caller_allowance(request));
-    candidates.push_back(std::move(candidate));
+    search.candidates.push_back(std::move(candidate));
   }
-  return usable;
 }
 
 std::variant<ServerName, Unavailable> any_server(State& state,
@@ -99,14 +125,14 @@
   if (listed == state.by_distance.end()) return Unavailable::kNoServer;
   Duration objective = request.route->objective;
   ++state.tie_breaker;
-  bool usable = false;
-  std::vector<Candidate> candidates;
+  Search search;
+  const std::vector<Candidate>& candidates = search.candidates;
   // Servers further away are looked at only if no near one has a free slot, so
   // that the usual cost does not grow with the service.
   for (Distance distance :
        {Distance::kSameZone, Distance::kSameRegion, Distance::kOtherRegion}) {
     const auto& servers = listed->second.at(static_cast<std::size_t>(distance));
-    if (add_candidates(state, request, servers, now, candidates)) usable = true;
+    add_candidates(state, request, servers, now, search);
     if (distance == Distance::kOtherRegion) break;
     auto near =
         choose_nearby(candidates, distance, objective, state.tie_breaker);
@@ -114,8 +140,10 @@
   }
   if (candidates.empty()) {
     if (!request.denied_by.empty()) return Unavailable::kLimit;
-    return !usable && backoff_end(state, request, now) ? Unavailable::kBackoff
-                                                       : Unavailable::kNoServer;
+    if (search.cold) return Unavailable::kCold;
+    return !search.usable && backoff_end(state, request, now)
+               ? Unavailable::kBackoff
+               : Unavailable::kNoServer;
   }
   auto chosen = choose(candidates, objective, state.tie_breaker);
   if (!chosen) return Unavailable::kFull;
@@ -155,6 +183,7 @@
   ++request.sends;
   if (!request.key) request.tried_servers.push_back(name);
   ++server.in_flight;
+  record_send_to_cold(state, server, now);
   state.fleet.load_changed = true;
   state.attempts[request.attempt] = request.id;
   effects.emplace_back(SendAttempt{request.attempt, request.id, name, address,
@@ -190,14 +219,14 @@
 }  // namespace
 
 std::vector<Candidate> all_candidates(const State& state,
-                                      const ServiceName& service,
+                                      const RequestState& request,
                                       TimePoint now) {
   std::vector<Candidate> candidates;
-  auto found = state.by_service.find(service);
+  auto found = state.by_service.find(request.service);
   if (found == state.by_service.end()) return candidates;
   for (const ServerName& name : found->second) {
     const ServerState& server = state.servers.at(name);
-    if (!accepts_work(server) || !accepts_requests(server, now)) continue;
+    if (!is_usable(state, *request.route, server, now)) continue;
     candidates.push_back(candidate_of(state, server, now));
   }
   return candidates;
@@ -208,7 +237,10 @@
                                      TimePoint now) {
   std::optional<TimePoint> earliest;
   auto add = [&](const ServerState& server) {
-    if (!accepts_work(server) || now >= server.backoff_until) return;
+    if (!accepts_work(server) || now >= server.backoff_until ||
+        !is_allowed(state.settings, *request.route, server.server.zone)) {
+      return;
+    }
     earliest =
         std::min(earliest.value_or(server.backoff_until), server.backoff_until);
   };
@@ -249,6 +281,7 @@
   // Waiting does not help if nothing is about to change.
   bool waiting_is_futile = why == Unavailable::kNoServer ||
                            why == Unavailable::kLimit ||
+                           why == Unavailable::kOwnerRegion ||
                            (request.key && why == Unavailable::kFull);
   if (why == Unavailable::kBackoff) {
     auto end = backoff_end(state, request, now);
--- a/src/fleet/effect.h
+++ b/src/fleet/effect.h
@@ -62,6 +62,7 @@
   /// The copies are complete up to these revisions.
   Version configuration_as_of;
   Version servers_as_of;
+  Version evacuations_as_of;
 };
 /// Reads the changes of one part of the store, once.
 struct CatchUp {
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -20,6 +20,11 @@
 struct ServerSeen {
   Server server;
 };
+/// Every zone whose evacuation is ordered.
+struct EvacuationsListed {
+  std::vector<ZoneName> zones;
+  Version as_of;  ///< Revision of the store.
+};
 struct ServerRemoved {
   ServerName name;
 };
@@ -104,6 +109,14 @@
 };
 
 // From backend servers.
+/// Load of a server as it states it in an answer.
+struct ServerLoadReport {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+  /// How long work takes now, as a ratio to the usual time.
+  double work_time_ratio = 1.0;
+};
 /// What a server's answer says about the server itself.
 struct ServerNotice {
   bool leaving = false;  ///< The server is about to end.
@@ -112,6 +125,7 @@
   Duration retry_after{0};
   /// The rate of requests that the server accepts from all daemons together.
   std::optional<RequestRate> request_limit;
+  std::optional<ServerLoadReport> load;
 };
 enum class AttemptResult : std::uint8_t {
   kAnswered,    ///< A complete answer that belongs to the request.
@@ -158,14 +172,13 @@
   Duration gap{0};
 };
 
-using Event =
-    std::variant<ConfigurationSeen, ServersListed, ServerSeen, ServerRemoved,
-                 ViewListed, StoreChanged, StoreUpdateReceived, MapSeen,
-                 MapMissing, DaemonSeen, MapWriteEnded, QuarantineRecordRead,
-                 QuarantineRecordWritten, StoreAnswered, StoreFailed,
-                 HeartbeatReceived, HeartbeatBatchReceived, MapChangeReceived,
-                 RequestReceived, CallerLeft, AttemptEnded, OrderEnded, Tick,
-                 StopOrdered, Resumed>;
+using Event = std::variant<
+    ConfigurationSeen, ServersListed, ServerSeen, ServerRemoved,
+    EvacuationsListed, ViewListed, StoreChanged, StoreUpdateReceived, MapSeen,
+    MapMissing, DaemonSeen, MapWriteEnded, QuarantineRecordRead,
+    QuarantineRecordWritten, StoreAnswered, StoreFailed, HeartbeatReceived,
+    HeartbeatBatchReceived, MapChangeReceived, RequestReceived, CallerLeft,
+    AttemptEnded, OrderEnded, Tick, StopOrdered, Resumed>;
 
 }  // namespace eelgrasspin::fleet
 
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -38,11 +38,22 @@
   Duration timeout{0};         ///< Longest time until the final answer.
   std::uint32_t attempts = 1;  ///< Maximum number of sends of one request.
   std::vector<Destination> destinations;
+  /// Regions whose servers may be sent its requests; empty: those of any.
+  std::vector<RegionName> allowed_regions;
+};
+
+struct RequestRate {
+  double per_second = 0;
+  auto operator<=>(const RequestRate&) const = default;
 };
 
 struct Service {
   ServiceName name;
   bool keyed = false;  ///< Each server serves only the keys granted to it.
+  /// Requests that a server takes for some time after its start, from all
+  /// daemons together; 0: as many as later.
+  RequestRate cold_rate;
+  Duration cold_time{0};  ///< That time.
 };
 
 struct CallerLimits {
@@ -72,11 +83,6 @@
   Duration warm_up_left{0};  ///< Remaining warm-up time when last written.
 };
 
-struct RequestRate {
-  double per_second = 0;
-  auto operator<=>(const RequestRate&) const = default;
-};
-
 /// A backend server between one start and its end.
 struct ServerIncarnation {
   ServerName name;
@@ -201,6 +207,9 @@
   /// Servers that have announced that they are leaving, within the last
   /// kLeavingReportTime.
   std::vector<ServerIncarnation> leaving_servers;
+  /// Servers that refused or did not accept a connection of this daemon within
+  /// the last kRestartReportTime, and may therefore have started again.
+  std::vector<ServerIncarnation> unreachable_servers;
   /// Only in some heartbeats; the last ones are kept for kMaxLimitReportAge.
   std::vector<LimitReport> limits;
   /// How current a zone relay's copies of the store are.
@@ -208,6 +217,8 @@
     Version configuration;  ///< Store revision of its last change.
     Version servers;        ///< Store revision of their last change.
     Duration age{0};        ///< Since the store last answered.
+    Version evacuations;    ///< Likewise; 0: not known.
+    std::vector<ZoneName> evacuated_zones;
   };
   std::optional<View> view;  ///< Set only by a zone's relay.
   /// Only in a batch: time since the forwarding daemon received the heartbeat.
@@ -215,10 +226,24 @@
 };
 
 /// The parts of the store of which every daemon keeps a copy.
-enum class StoreView : std::uint8_t { kConfiguration, kServers };
+enum class StoreView : std::uint8_t {
+  kConfiguration,
+  kServers,
+  kEvacuations  ///< Only where Settings::evacuation_time is set.
+};
+/// The parts whose changes a zone's relay forwards as they come. The few zones
+/// under evacuation are listed in its heartbeats instead.
 inline constexpr std::array<StoreView, 2> kStoreViews = {
     StoreView::kConfiguration, StoreView::kServers};
 
+/// The operator's order to send nothing to the servers of a zone, or the end of
+/// that order.
+struct EvacuationChange {
+  ZoneName zone;
+  bool ordered = true;
+  bool operator==(const EvacuationChange&) const = default;
+};
+
 /// An entry of the registry that was written, or the name of one that was
 /// removed.
 using ServerChange = std::variant<Server, ServerName>;
@@ -232,7 +257,8 @@
   /// The newest configuration; null if it has not changed.
   std::shared_ptr<const Configuration> configuration;
   Version configuration_revision;
-  std::vector<ServerChange> servers;  ///< In the order of the changes.
+  std::vector<ServerChange> servers;          ///< In the order of the changes.
+  std::vector<EvacuationChange> evacuations;  ///< Likewise.
   /// Time since the sender reached the store again, if that was a moment ago:
   /// entries may have expired during the outage.
   std::optional<Duration> since_outage;
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fleet/cold_servers.h"
 #include "fleet/loads.h"
 #include "fleet/log_event.h"
 #include "fleet/ownership.h"
@@ -133,6 +134,7 @@
   }
   on_strikes(state, heartbeat.strikes, now);
   on_leaving_reports(state, heartbeat.leaving_servers, now, effects);
+  on_unreachable_reports(state, heartbeat.unreachable_servers, now);
   on_terms(state, heartbeat, now, effects);
   return true;
 }
@@ -157,6 +159,7 @@
   heartbeat.loads = own_loads(state, other_region);
   heartbeat.strikes = announced_strikes(state, now);
   heartbeat.leaving_servers = recent_leaving_reports(state, now);
+  heartbeat.unreachable_servers = recent_unreachable_reports(state, now);
   if (!other_region) {
     heartbeat.view = own_view(state, now);
     if (now - state.fleet.limits_sent_at >= config::kLimitReportInterval)
--- a/src/fleet/reduce.cc
+++ b/src/fleet/reduce.cc
@@ -1,6 +1,7 @@
 #include "fleet/reduce.h"
 
 #include "eelgrasspin/result.h"
+#include "fleet/evacuations.h"
 #include "fleet/loads.h"
 #include "fleet/log_event.h"
 #include "fleet/ownership.h"
@@ -91,6 +92,9 @@
           [&](const ServerRemoved& e) {
             on_servers_changed(state, {e.name}, now, effects);
           },
+          [&](const EvacuationsListed& e) {
+            on_evacuations_listed(state, e, now, effects);
+          },
           [&](const ViewListed& e) { on_view_listed(state, e, now); },
           [&](const StoreChanged& e) {
             on_store_changed(state, e, now, effects);
@@ -139,7 +143,7 @@
 
 bool is_ready(const State& state) {
   return state.configuration != nullptr && !state.servers.empty() &&
-         !state.stopping;
+         evacuations_known(state) && !state.stopping;
 }
 
 std::size_t open_requests(const State& state) { return state.requests.size(); }
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "fleet/cold_servers.h"
 #include "fleet/log_event.h"
 #include "fleet/peers.h"
 #include "fleet/quarantine.h"
@@ -43,6 +44,8 @@
   entry.server = server;
   entry.read_at = now;
   entry.removed = false;
+  entry.evacuated = state.evacuated_zones.count(server.zone) > 0;
+  record_warm_up(state, entry, restarted, now);
   entry.may_return_until.reset();
   if (server.draining) {
     start_leaving(entry, now);
@@ -186,7 +189,8 @@
 }
 
 bool accepts_work(const ServerState& server) {
-  return !server.leaving && !server.removed && !server.announced_leaving;
+  return !server.leaving && !server.removed && !server.announced_leaving &&
+         !server.evacuated;
 }
 
 ServerIncarnation incarnation_of(const Server& server) {
--- a/src/fleet/replan.cc
+++ b/src/fleet/replan.cc
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <set>
 
+#include "fleet/cold_servers.h"
 #include "fleet/election.h"
 #include "fleet/learning.h"
 #include "fleet/leases.h"
 #include "fleet/log_event.h"
 #include "fleet/peers.h"
 #include "fleet/placement.h"
+#include "fleet/regions.h"
 #include "fleet/registry.h"
 
 namespace eelgrasspin::fleet {
@@ -87,18 +89,53 @@
   return unreachable;
 }
 
+/// Servers of the service that accept work, can be reached and are in regions
+/// that suit its routes.
+std::vector<ServerName> available_servers(const State& state,
+                                          const ServiceName& service,
+                                          TimePoint now) {
+  std::vector<ServerName> available;
+  auto listed = state.by_service.find(service);
+  if (listed == state.by_service.end()) return available;
+  std::set<ServerName> unreachable = unreachable_servers(state, service, now);
+  std::vector<ServerName> elsewhere;
+  for (const ServerName& name : listed->second) {
+    const ServerState& server = state.servers.at(name);
+    if (!accepts_work(server) || unreachable.count(name) > 0) continue;
+    bool suited = suits_all_routes(state, service, server.server.zone);
+    (suited ? available : elsewhere).push_back(name);
+  }
+  // Without any server in those regions, the other requests are still served.
+  return available.empty() ? elsewhere : available;
+}
+
+/// Those of the servers that are warm; all of them if none is.
+std::vector<ServerName> warm_servers(const State& state,
+                                     std::vector<ServerName> servers,
+                                     TimePoint now) {
+  std::vector<ServerName> warm;
+  for (const ServerName& name : servers) {
+    if (!is_cold(state, state.servers.at(name), now)) warm.push_back(name);
+  }
+  return warm.empty() ? std::move(servers) : warm;
+}
+
+/// Servers that may own keys of the service. A cold server takes too few
+/// requests to be given keys, or to keep them.
+std::vector<ServerName> eligible_owners(const State& state,
+                                        const ServiceName& service,
+                                        TimePoint now) {
+  return warm_servers(state, available_servers(state, service, now), now);
+}
+
 std::vector<PlacedServer> usable_servers(const State& state,
                                          const ServiceName& service,
                                          TimePoint now) {
   std::vector<PlacedServer> servers;
-  auto found = state.by_service.find(service);
-  if (found == state.by_service.end()) return servers;
   std::map<ServerName, Duration> service_times =
       measured_service_times(state, service, now);
-  std::set<ServerName> unreachable = unreachable_servers(state, service, now);
-  for (const ServerName& name : found->second) {
+  for (const ServerName& name : eligible_owners(state, service, now)) {
     const ServerState& server = state.servers.at(name);
-    if (!accepts_work(server) || unreachable.count(name) > 0) continue;
     auto measured = service_times.find(name);
     Duration time_per_request = measured == service_times.end()
                                     ? service_time(state, server, now)
@@ -200,12 +237,12 @@
 /// The new owner of keys whose owner is lost: its next incarnation if the
 /// server has started again, else the least loaded server.
 std::optional<ServerIncarnation> replacement_owner(
-    const State& state, const ServerIncarnation& lost,
-    const PlacementInput& input) {
-  auto restarted = state.servers.find(lost.name);
-  if (restarted != state.servers.end() && accepts_work(restarted->second) &&
-      restarted->second.server.incarnation != lost.incarnation) {
-    return incarnation_of(restarted->second.server);
+    const ServerIncarnation& lost, const PlacementInput& input) {
+  for (const PlacedServer& server : input.servers) {
+    if (server.incarnation.name == lost.name &&
+        server.incarnation.incarnation != lost.incarnation) {
+      return server.incarnation;
+    }
   }
   const PlacedServer* target = least_loaded(input);
   if (target == nullptr) return std::nullopt;
@@ -215,10 +252,10 @@
 bool reassign_lost_ranges(const State& state, const ServiceName& service,
                           OwnerMap& next, TimePoint now, Effects& effects) {
   bool changed = false;
-  std::set<ServerName> unreachable = unreachable_servers(state, service, now);
+  std::vector<ServerName> eligible = eligible_owners(state, service, now);
+  std::set<ServerName> owners(eligible.begin(), eligible.end());
   auto usable = [&](const KeyRange& range) {
-    return is_current(state, range.owner) &&
-           unreachable.count(range.owner.name) == 0;
+    return is_current(state, range.owner) && owners.count(range.owner.name) > 0;
   };
   if (std::all_of(next.ranges.begin(), next.ranges.end(), usable)) return false;
   PlacementInput input = placement_input(state, service, next, now);
@@ -226,7 +263,7 @@
   for (std::size_t i = 0; i < input.ranges.size(); ++i) {
     KeyRange range = input.ranges[i];
     if (usable(range)) continue;
-    auto to = replacement_owner(state, range.owner, input);
+    auto to = replacement_owner(range.owner, input);
     if (!to) continue;
     next.last_epoch = next.last_epoch.next();
     assign(input.ranges, {range.first, range.last, *to}, next.last_epoch);
--- a/src/fleet/requests.cc
+++ b/src/fleet/requests.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fleet/budget.h"
+#include "fleet/cold_servers.h"
 #include "fleet/duration.h"
 #include "fleet/learning.h"
 #include "fleet/log_event.h"
@@ -145,6 +146,7 @@
   decay_key_loads(state, now);
   expire_strikes(state, now);
   expire_leaving_reports(state, now);
+  expire_unreachable_reports(state, now);
   tick_limits(state, now, effects);
   std::vector<RequestId> due;
   for (const auto& [id, request] : state.requests) {
--- a/src/fleet/requests_p.h
+++ b/src/fleet/requests_p.h
@@ -56,9 +56,9 @@
                      std::string_view reason, TimePoint now, Effects& effects);
 
 // Sends, in dispatch.cc.
-/// Servers of the service that may be sent requests.
+/// Servers of the request's service that may be sent it.
 std::vector<Candidate> all_candidates(const State& state,
-                                      const ServiceName& service,
+                                      const RequestState& request,
                                       TimePoint now);
 /// The earliest end of the Retry-After times of the servers that could take the
 /// request. Empty if no such time is running.
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -2,6 +2,7 @@
 #define EELGRASSPIN_FLEET_SETTINGS_H_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "fleet/config.h"
@@ -29,6 +30,9 @@
   /// that share, also for all daemons together.
   std::uint32_t retry_slack = 60;
   Duration retry_window = seconds(10);
+  /// Time from an operator's order to evacuate a zone until its servers must be
+  /// sent nothing more; empty: no such orders are given.
+  std::optional<Duration> evacuation_time;
   /// Bytes of memory that the process may use.
   std::size_t memory_limit = std::size_t{256} << 20;
 };
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -28,6 +29,17 @@
   double credit = 0;  ///< Grows by `admitted_share` with each request.
 };
 
+/// Whether a server has just started, or may have, so that it takes few
+/// requests.
+struct ColdState {
+  TimePoint since;  ///< When it was found cold; its turns count from then.
+  TimePoint until;
+  /// Its process may have started again without the registry showing it yet.
+  TimePoint restart_suspected_until;
+  /// The last turn in which this daemon has sent it a request.
+  std::optional<std::uint64_t> last_turn;
+};
+
 /// A backend server, as the registry lists it, and what this daemon has
 /// measured of it.
 struct ServerState {
@@ -47,6 +59,8 @@
   TimePoint blocked_until;
   /// This incarnation has announced in an answer that it is leaving.
   bool announced_leaving = false;
+  bool evacuated = false;  ///< An evacuation of its zone is ordered.
+  ColdState cold;
   /// The server is sent no request until then, because of its Retry-After.
   TimePoint backoff_until;
   double answer_count = 0;  ///< Decayed number of answers measured.
@@ -107,6 +121,8 @@
   /// Servers that announced that they are leaving, and when this daemon learned
   /// of it; oldest first.
   std::deque<std::pair<TimePoint, ServerIncarnation>> leaving_reports;
+  /// Servers that have refused a connection of this daemon; oldest first.
+  std::deque<std::pair<TimePoint, ServerIncarnation>> unreachable_reports;
 };
 
 /// How the coordinator knows that a previous owner has given up its keys.
@@ -308,6 +324,11 @@
   /// The same servers, by service and Distance. The pointers lead into
   /// `servers`; see index_servers().
   std::map<ServiceName, ServersByDistance> by_distance;
+  /// Zones whose servers are not to own keys, by keyed service; see
+  /// index_regions().
+  std::map<ServiceName, std::set<ZoneName>> unsuited_zones;
+  /// Zones whose evacuation is ordered.
+  std::set<ZoneName> evacuated_zones;
   FleetState fleet;
   std::map<ServiceName, MapState> maps;
   std::map<std::uint64_t, Order> orders;
--- a/src/fleet/store_view.cc
+++ b/src/fleet/store_view.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 
+#include "fleet/evacuations.h"
 #include "fleet/log_event.h"
 #include "fleet/peers.h"
+#include "fleet/regions.h"
 #include "fleet/registry.h"
 #include "fleet/requests.h"
 #include "fleet/zone_relay.h"
@@ -95,6 +97,7 @@
     return;
   }
   state.configuration = seen.configuration;
+  index_regions(state);
   log_event(effects, "config_adopted",
             {{"version", text(next.version)},
              {"revision", text(seen.revision.value)},
@@ -122,6 +125,8 @@
 void on_store_changed(State& state, const StoreChanged& changed, TimePoint now,
                       Effects& effects) {
   StoreUpdate update = changed.update;
+  if (update.view == StoreView::kEvacuations)
+    return on_evacuations_changed(state, update, now, effects);
   ViewState& view = state.views[update.view];
   update.base = view.last_change;
   if (in_or_after_outage(state, now)) {
@@ -172,11 +177,13 @@
     state.watch_wait = wait;
     effects.emplace_back(
         WatchStore{watch, wait, state.views[StoreView::kConfiguration].as_of,
-                   state.views[StoreView::kServers].as_of});
+                   state.views[StoreView::kServers].as_of,
+                   state.views[StoreView::kEvacuations].as_of});
   }
   if (watch) return;
   if (const PeerState* peer = followed_relay(state, now)) {
     catch_up(state, *peer->heartbeat.view, now, effects);
+    follow_evacuations(state, *peer->heartbeat.view, now, effects);
   }
 }
 
@@ -186,9 +193,18 @@
   }
   const ViewState& configuration = state.views.at(StoreView::kConfiguration);
   const ViewState& servers = state.views.at(StoreView::kServers);
-  return Heartbeat::View{
-      configuration.last_change, servers.last_change,
-      now - std::min(configuration.answered_at, servers.answered_at)};
+  Heartbeat::View view{
+      configuration.last_change,
+      servers.last_change,
+      now - std::min(configuration.answered_at, servers.answered_at),
+      Version(),
+      {}};
+  if (state.settings.evacuation_time && evacuations_known(state)) {
+    view.evacuations = state.views.at(StoreView::kEvacuations).last_change;
+    view.evacuated_zones = {state.evacuated_zones.begin(),
+                            state.evacuated_zones.end()};
+  }
+  return view;
 }
 
 }  // namespace eelgrasspin::fleet
--- a/src/fleet/zone_relay.cc
+++ b/src/fleet/zone_relay.cc
@@ -51,7 +51,8 @@
 /// Whether the heartbeat has to reach the other zones before the next batch
 /// that lists all daemons.
 bool is_urgent(const Heartbeat& heartbeat) {
-  return heartbeat.stopping || !heartbeat.leaving_servers.empty();
+  return heartbeat.stopping || !heartbeat.leaving_servers.empty() ||
+         !heartbeat.unreachable_servers.empty();
 }
 
 HeartbeatBatch own_batch(State& state, bool other_region, bool all_members,
--- a/src/io/fleet_ports.h
+++ b/src/io/fleet_ports.h
@@ -30,6 +30,7 @@
 enum class ObjectKind : std::uint8_t {
   kConfiguration,  ///< Written by the operator.
   kServers,        ///< Entries that backend servers write about themselves.
+  kEvacuations,    ///< Written by the operator; named by zone.
   kRecords,        ///< Records that this system's daemons write.
 };
 
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -7,6 +7,7 @@
 
 #include "codec/fleet_json.h"
 #include "eelgrasspin/result.h"
+#include "fleet/regions.h"
 #include "fleet/registry.h"
 #include "io/endpoint.h"
 #include "io/log.h"
@@ -510,6 +511,7 @@
   state_.settings.seeds = settings.seeds;
   state_.settings.regions = settings.regions;
   fleet::index_servers(state_);
+  fleet::index_regions(state_);
   log_line(LogLevel::kInfo,
            {{"event", "reload"},
             {"seeds", std::to_string(settings.seeds.size())},
--- a/src/io/store_feed.cc
+++ b/src/io/store_feed.cc
@@ -43,6 +43,8 @@
       return fleet::StoreView::kConfiguration;
     case ObjectKind::kServers:
       return fleet::StoreView::kServers;
+    case ObjectKind::kEvacuations:
+      return fleet::StoreView::kEvacuations;
     case ObjectKind::kRecords:
       return std::nullopt;
   }
@@ -105,14 +107,19 @@
 }
 
 void StoreFeed::start() {
-  for (ObjectKind kind : {ObjectKind::kConfiguration, ObjectKind::kServers,
-                          ObjectKind::kRecords}) {
-    list(kind, {});
-  }
+  for (ObjectKind kind : watched_kinds()) list(kind, {});
+  list(ObjectKind::kRecords, {});
   register_daemon();
   schedule_relist();
 }
 
+std::vector<ObjectKind> StoreFeed::watched_kinds() const {
+  std::vector<ObjectKind> kinds = {ObjectKind::kConfiguration,
+                                   ObjectKind::kServers};
+  if (settings_.evacuation_time) kinds.push_back(ObjectKind::kEvacuations);
+  return kinds;
+}
+
 void StoreFeed::schedule_relist() {
   relist_timer_.expires_after(kDaemonRelistDelay);
   relist_timer_.async_wait([this](const boost::system::error_code& failed) {
@@ -165,6 +172,13 @@
       }
     }
     sink_(servers);
+  } else if (kind == ObjectKind::kEvacuations) {
+    fleet::EvacuationsListed evacuations;
+    evacuations.as_of = state.as_of;
+    for (const StoredObject& object : listed) {
+      if (!object.name.empty()) evacuations.zones.emplace_back(object.name);
+    }
+    sink_(evacuations);
   } else {
     for (const StoredObject& object : listed) emit(object);
   }
@@ -183,7 +197,10 @@
   KindState& state = state_of(kind);
   state.busy = watching_;
   if (!watching_) return;
-  watch(kind, state.failures > 0 ? kProbeWait : watch_wait_);
+  Duration wait = kind == ObjectKind::kEvacuations
+                      ? fleet::config::kEvacuationWatchWait
+                      : watch_wait_;
+  watch(kind, state.failures > 0 ? kProbeWait : wait);
 }
 
 void StoreFeed::set_watch(const fleet::WatchStore& watch) {
@@ -194,7 +211,9 @@
   configuration = std::max(configuration, watch.configuration_as_of);
   Version& servers = state_of(ObjectKind::kServers).as_of;
   servers = std::max(servers, watch.servers_as_of);
-  for (ObjectKind kind : {ObjectKind::kConfiguration, ObjectKind::kServers}) {
+  Version& evacuations = state_of(ObjectKind::kEvacuations).as_of;
+  evacuations = std::max(evacuations, watch.evacuations_as_of);
+  for (ObjectKind kind : watched_kinds()) {
     if (!state_of(kind).busy) continue_watching(kind);
   }
 }
@@ -257,11 +276,16 @@
 fleet::StoreUpdate StoreFeed::store_update_of(ObjectKind kind,
                                               const ObjectPage& page) {
   fleet::StoreUpdate update;
-  update.view = kind == ObjectKind::kConfiguration
-                    ? fleet::StoreView::kConfiguration
-                    : fleet::StoreView::kServers;
+  update.view = *store_view_of(kind);
   update.as_of = page.as_of;
   for (const StoredObject& object : page.objects) {
+    if (kind == ObjectKind::kEvacuations) {
+      // Its existence is the order, whatever it contains.
+      if (!object.name.empty()) {
+        update.evacuations.push_back({ZoneName(object.name), !object.deleted});
+      }
+      continue;
+    }
     if (const auto* unreadable = std::get_if<UnreadableObject>(&object.value)) {
       log_unreadable(object, unreadable->why);
       // An entry that cannot be read names no server to use, as in a list.
--- a/src/io/store_feed.h
+++ b/src/io/store_feed.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "fleet/event.h"
 #include "fleet/settings.h"
@@ -46,6 +47,8 @@
   };
 
   KindState& state_of(ObjectKind kind);
+  /// Kinds that are watched for changes.
+  std::vector<ObjectKind> watched_kinds() const;
   void list(ObjectKind kind, const std::string& after);
   void on_page(ObjectKind kind, PageResult result);
   void finish_list(ObjectKind kind);
