--- a/tests/fleet_messages_test.cc
+++ b/tests/fleet_messages_test.cc
@@ -26,7 +26,8 @@
 fleet::StoreUpdate update_of_configuration() {
   auto configuration = std::make_shared<fleet::Configuration>();
   configuration->version = 9;
-  configuration->services[ServiceName("board")] = {ServiceName("board"), true};
+  configuration->services[ServiceName("board")] = {
+      ServiceName("board"), true, {3.4}, seconds(3)};
   fleet::Route route;
   route.name = "readings";
   route.host = "h";
@@ -37,6 +38,7 @@
   route.timeout = milliseconds(1000);
   route.attempts = 2;
   route.destinations = {{ServiceName("board"), 3}, {ServiceName("book"), 1}};
+  route.allowed_regions = {RegionName("r"), RegionName("s")};
   configuration->routes = {route};
   configuration->limits = {16'384, 1'000'000, seconds(3), seconds(15)};
   fleet::StoreUpdate update;
@@ -82,6 +84,12 @@
   EXPECT_EQ(route.attempts, 2u);
   ASSERT_EQ(route.destinations.size(), 2u);
   EXPECT_EQ(route.destinations[0].weight, 3u);
+  EXPECT_EQ(route.allowed_regions,
+            (std::vector<RegionName>{RegionName("r"), RegionName("s")}));
+  const fleet::Service& board =
+      read.configuration->services.at(ServiceName("board"));
+  EXPECT_EQ(board.cold_rate.per_second, 3.4);
+  EXPECT_EQ(board.cold_time, seconds(3));
   EXPECT_TRUE(read.configuration->services.at(ServiceName("board")).keyed);
   EXPECT_EQ(read.configuration->limits.idle_timeout, seconds(15));
 }
@@ -134,6 +142,21 @@
   }
 }
 
+TEST(FleetMessages, EvacuationsAndUnreachableServersAreKept) {
+  fleet::Heartbeat heartbeat;
+  heartbeat.daemon.name = DaemonName("d");
+  heartbeat.view = fleet::Heartbeat::View{
+      Version(3), Version(4), seconds(1), Version(5), {ZoneName("z")}};
+  heartbeat.unreachable_servers = {{ServerName("s"), Incarnation(7)}};
+  auto read = decode_datagram(encode_heartbeat(heartbeat));
+  ASSERT_TRUE(ok(read));
+  const auto& got = std::get<fleet::Heartbeat>(value(read));
+  ASSERT_TRUE(got.view);
+  EXPECT_EQ(got.view->evacuations, Version(5));
+  EXPECT_EQ(got.view->evacuated_zones, heartbeat.view->evacuated_zones);
+  EXPECT_EQ(got.unreachable_servers, heartbeat.unreachable_servers);
+}
+
 TEST(FleetMessages, StrikesKeepTheirAge) {
   fleet::Heartbeat heartbeat;
   heartbeat.daemon.name = DaemonName("d");
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -187,6 +187,24 @@
     if (!daemons_.empty()) announce(servers_.size() - 1);
   }
 
+  /// Moves the server to another availability zone.
+  void set_zone(std::size_t index, const ZoneName& zone) {
+    servers_[index].entry.zone = zone;
+    announce(index);
+  }
+  /// Sets the region of each availability zone in all daemons.
+  void set_regions(const std::map<ZoneName, RegionName>& regions) {
+    for (Daemon& daemon : daemons_) daemon.state->settings.regions = regions;
+  }
+  /// Puts a configuration in force whose routes allow only these regions.
+  void allow_regions(const std::vector<RegionName>& regions) {
+    auto next = std::make_shared<Configuration>(*configuration_);
+    ++next->version;
+    for (Route& route : next->routes) route.allowed_regions = regions;
+    configuration_ = next;
+    each_daemon_with_store(ConfigurationSeen{next, Version(next->version)});
+  }
+
   /// Passes an event to the daemon if it runs; once it thaws, if it is frozen.
   void post(std::size_t daemon, const Event& event) {
     post(daemon, daemons_[daemon].incarnation, event);
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -42,9 +42,17 @@
   EXPECT_EQ(settings.fleet.seeds[1], Endpoint("10.2.0.34:7540"));
   EXPECT_EQ(settings.fleet.stop_timeout, milliseconds(6500));
   EXPECT_EQ(settings.fleet.retry_slack, 64u);
+  EXPECT_FALSE(settings.fleet.evacuation_time);
   EXPECT_EQ(settings.unknown_names, std::vector<std::string>{"some.new.field"});
 }
 
+TEST(PlatformSettings, EvacuationsAreKnownOnlyWhereTheirTimeIsSet) {
+  auto checked = read(std::string(kSettings) + "terms.bounds.evacuateS=5\n");
+  ASSERT_TRUE(std::holds_alternative<DaemonSettings>(checked));
+  EXPECT_EQ(std::get<DaemonSettings>(checked).fleet.evacuation_time,
+            seconds(5));
+}
+
 TEST(PlatformSettings, MissingAndWrongFieldsAreListedTogether) {
   auto checked = read(
       "self.node=x\nself.ip=10.0.0.1\nself.zone=a\nnonsense\n"
@@ -89,6 +97,58 @@
   EXPECT_EQ(read.limits.idle_timeout, seconds(15));
 }
 
+TEST(PlatformObjects, ReadsRegionsAndTheRateOfColdServers) {
+  std::string text = kConfiguration;
+  auto replace = [&text](const std::string& from, const std::string& to) {
+    text.replace(text.find(from), from.size(), to);
+  };
+  replace("\"timeoutS\":1.2,",
+          "\"timeoutS\":1.2,\"allowedRegions\":[\"north\",\"south\"],");
+  replace("\"maxConns\":130}",
+          "\"maxConns\":130,\"coldStartS\":3.0,"
+          "\"coldPerS\":3.4}");
+  auto read = read_configuration(text);
+  ASSERT_TRUE(ok(read)) << error(read).message;
+  EXPECT_TRUE(value(read).routes[0].allowed_regions.empty());
+  EXPECT_EQ(
+      value(read).routes[1].allowed_regions,
+      (std::vector<RegionName>{RegionName("north"), RegionName("south")}));
+  const auto& services = value(read).services;
+  EXPECT_EQ(services.at(ServiceName("one")).cold_rate.per_second, 0);
+  EXPECT_EQ(services.at(ServiceName("two")).cold_rate.per_second, 3.4);
+  EXPECT_EQ(services.at(ServiceName("two")).cold_time, seconds(3));
+}
+
+TEST(PlatformObjects, EvacuationsAreNamedByZoneWhateverTheyContain) {
+  auto page = read_list(
+      io::ObjectKind::kEvacuations,
+      R"({"items":[{"metadata":{"name":"a","rev":3},"spec":{},"status":null},)"
+      R"({"metadata":{"name":"b","rev":4},"spec":[7],"status":null}],)"
+      R"("hasMore":false,"asOf":9})");
+  ASSERT_TRUE(ok(page));
+  ASSERT_EQ(value(page).objects.size(), 2u);
+  EXPECT_EQ(value(page).objects[0].name, "a");
+  EXPECT_EQ(value(page).objects[1].name, "b");
+}
+
+TEST(PlatformRequests, ReadsTheLoadThatServersState) {
+  auto load = [](const char* field) {
+    return server_notice({200, {{kServerLoadHeader, field}}, "", false}).load;
+  };
+  auto full = load("3,1,8,150");
+  ASSERT_TRUE(full);
+  EXPECT_EQ(full->running, 3u);
+  EXPECT_EQ(full->waiting, 1u);
+  EXPECT_EQ(full->slots, 8u);
+  EXPECT_EQ(full->work_time_ratio, 1.5);
+  ASSERT_TRUE(load("3,0,8"));
+  EXPECT_EQ(load("3,0,8")->work_time_ratio, 1.0);
+  for (const char* odd : {"", "3", "3,0", "a,b,c", "1,2,3,4,5", "-1,0,3",
+                          "1e99,0,3", "1,,3", "1,2,3,"}) {
+    EXPECT_FALSE(load(odd)) << odd;
+  }
+}
+
 TEST(PlatformObjects, HostsOfRoutesMatchInAnyCase) {
   std::string text = kConfiguration;
   text.replace(text.find("a.example"), 9, "A.Example");
