--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -291,6 +291,8 @@
   std::uint32_t refuse_every = 0;
   /// Closes the connection in place of every n-th answer; 0: none.
   std::uint32_t lose_answer_every = 0;
+  /// Answers to requests have this many bytes more.
+  std::size_t answer_bytes = 0;
   /// Every answer is endless_response(), also those to orders.
   bool endless = false;
   /// Ids of the requests that ran.
@@ -434,7 +436,8 @@
         {200,
          {{kRequestIdHeader, *id}, {kResponseStampHeader, "stamp-" + name_}},
          "body of " + *id + " " +
-             (large ? std::to_string(request.body.size()) : request.body)});
+             (large ? std::to_string(request.body.size()) : request.body) +
+             std::string(answer_bytes, 'y')});
   }
 
   /// States that the request did not run.
