Bound the memory and the descriptors that callers hold

Cause: only the bytes of bodies were counted, bodies up to 64 KB always passed, whoever sent was refused when the memory was full (so bodies that had stopped kept it), answers for callers that do not read were not counted, an idle connection had a buffer of 16 KB, connections were bounded by a constant, and accepting spun when no descriptor was left.

Change: connections, buffers, header fields and answers are counted. When a limit is exceeded, requests being received that are slow go first, then large ones, then those without progress for the longest time; the choice is a free function (src/io/progress.h). Connections that do not read their answers are closed. Buffers exist only while there is input. self.limits.maxFds bounds connections of callers, to servers and for orders; idle ones are closed first; accepting pauses without descriptors. Only requests that have not been passed on are refused. docs/design/0012-uncontrolled-callers.md has what was weighed.

The time that the changes cost per request was not measured.

--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -31,6 +31,8 @@
   Duration retry_window = seconds(10);
   /// Bytes of memory that the process may use.
   std::size_t memory_limit = std::size_t{256} << 20;
+  /// Connections that the process may have open. 0: unknown.
+  std::size_t max_connections = 0;
 };
 
 }  // namespace eelgrasspin::fleet
--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -1,6 +1,7 @@
 #include "io/backend_pool.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 #include "fleet/duration.h"
 
@@ -46,8 +47,11 @@
 }  // namespace
 
 BackendPool::BackendPool(boost::asio::io_context& io,
-                         std::size_t max_response_bytes)
-    : io_(io), budget_(std::make_shared<ByteBudget>(max_response_bytes)) {}
+                         std::size_t max_response_bytes,
+                         std::size_t max_connections)
+    : io_(io),
+      budget_(std::make_shared<ByteBudget>(max_response_bytes)),
+      max_connections_(max_connections) {}
 
 BackendPool::~BackendPool() {
   for (const auto& [number, busy] : busy_) busy.connection->close();
@@ -67,7 +71,35 @@
              : max_time;
 }
 
+std::size_t BackendPool::idle_count() const {
+  std::size_t count = 0;
+  for (const auto& [address, idle_connections] : idle_)
+    count += idle_connections.size();
+  return count;
+}
+
+bool BackendPool::make_room() {
+  if (max_connections_ == 0) return true;
+  while (connections() >= max_connections_) {
+    // Each list is in the order of last use.
+    auto oldest = idle_.end();
+    for (auto it = idle_.begin(); it != idle_.end(); ++it) {
+      if (it->second.empty()) continue;
+      if (oldest == idle_.end() ||
+          it->second.front().connection->last_response_time() <
+              oldest->second.front().connection->last_response_time()) {
+        oldest = it;
+      }
+    }
+    if (oldest == idle_.end()) return false;
+    oldest->second.front().connection->close();
+    oldest->second.erase(oldest->second.begin());
+  }
+  return true;
+}
+
 BackendPool::Busy BackendPool::new_connection(const Endpoint& address) {
+  if (!make_room()) return {};
   ++connections_made_;
   return {make_http_connection(io_, address, budget_)};
 }
@@ -106,6 +138,7 @@
   Busy busy = call.on_new_connection
                   ? new_connection(call.address)
                   : take_connection(call.address, call.repeatable);
+  if (!busy.connection) return fail_for_room(std::move(done));
   busy.last_exchange = call.last_on_connection;
   busy_[number] = busy;
   busy.connection->exchange_checked(
@@ -118,6 +151,17 @@
   return number;
 }
 
+std::uint64_t BackendPool::fail_for_room(Callback done) {
+  std::uint64_t number = next_number_ - 1;
+  refused_.insert(number);
+  boost::asio::post(io_, [this, alive = std::weak_ptr<ByteBudget>(budget_),
+                          number, done = std::move(done)] {
+    if (alive.expired() || refused_.erase(number) == 0) return;
+    done(HttpFailure{HttpFailureKind::kRefused, "too many connections"}, {});
+  });
+  return number;
+}
+
 BackendPool::ConnectionUse BackendPool::finish(std::uint64_t number,
                                                const Endpoint& address,
                                                const HttpResult& result) {
@@ -161,6 +205,7 @@
 }
 
 void BackendPool::cancel(std::uint64_t number) {
+  refused_.erase(number);
   auto found = busy_.find(number);
   if (found == busy_.end()) return;
   found->second.connection->close();
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "io/http_client.h"
@@ -37,9 +38,12 @@
   /// All responses that are being read have bodies of `max_response_bytes`
   /// together at most; beyond it, those larger than config::kMinAnswerBytes
   /// fail.
+  /// It has at most `max_connections` (0: any number); beyond them, idle ones
+  /// are closed, and without any a call fails as not sent.
   explicit BackendPool(
       boost::asio::io_context& io,
-      std::size_t max_response_bytes = config::kMaxPoolAnswerBytes);
+      std::size_t max_response_bytes = config::kMaxPoolAnswerBytes,
+      std::size_t max_connections = 0);
   ~BackendPool();
   BackendPool(const BackendPool&) = delete;
   BackendPool& operator=(const BackendPool&) = delete;
@@ -50,6 +54,7 @@
   void cancel(std::uint64_t number);
   /// Closes idle connections that their servers are about to close.
   void close_expired();
+  std::size_t connections() const { return busy_.size() + idle_count(); }
   std::uint64_t connections_made() const { return connections_made_; }
   /// Bytes of the response bodies that are being read.
   std::size_t response_bytes() const { return budget_->used(); }
@@ -67,6 +72,11 @@
     bool carried_failure = false;  ///< In an earlier call.
     bool last_exchange = false;    ///< The connection is closed after it.
   };
+  std::size_t idle_count() const;
+  /// Closes idle connections until another one is allowed.
+  bool make_room();
+  /// A call that needs a connection more than there may be; nothing is sent.
+  std::uint64_t fail_for_room(Callback done);
   Busy new_connection(const Endpoint& address);
   Busy take_connection(const Endpoint& address, bool repeatable);
   bool may_reuse(const Idle& idle, bool repeatable, TimePoint now) const;
@@ -79,8 +89,10 @@
 
   boost::asio::io_context& io_;
   std::shared_ptr<ByteBudget> budget_;
+  std::size_t max_connections_;
   std::map<Endpoint, std::vector<Idle>> idle_;
   std::map<std::uint64_t, Busy> busy_;
+  std::set<std::uint64_t> refused_;  ///< Calls that get no connection.
   /// Shortest recent idle time after which a server had dropped a connection
   /// without closing it (0: none), and when that was last seen.
   Duration stale_after_{0};
--- a/src/io/byte_budget.cc
+++ b/src/io/byte_budget.cc
@@ -15,11 +15,8 @@
 }
 
 bool ByteShare::exceeds(std::size_t small) const {
-  return budget_ && budget_->used() > budget_->limit() && bytes_ > small;
-}
-
-bool ByteShare::could_hold(std::size_t bytes) const {
-  return !budget_ || bytes <= budget_->limit();
+  if (!budget_ || budget_->used() <= budget_->limit()) return false;
+  return bytes_ > small || budget_->used() > 2 * budget_->limit();
 }
 
 }  // namespace eelgrasspin::io
--- a/src/io/byte_budget.h
+++ b/src/io/byte_budget.h
@@ -29,11 +29,10 @@
   ByteShare& operator=(const ByteShare&) = delete;
 
   void set(std::size_t bytes);
-  /// The shares of all connections together exceed the limit, and this one is
-  /// larger than `small`.
+  std::size_t bytes() const { return bytes_; }
+  /// The shares of all connections together exceed the limit and this one is
+  /// larger than `small`, or they exceed twice the limit.
   bool exceeds(std::size_t small) const;
-  /// Whether as many bytes could fit if nothing else was held.
-  bool could_hold(std::size_t bytes) const;
 
  private:
   std::shared_ptr<ByteBudget> budget_;
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -8,6 +8,7 @@
 #include "codec/fleet_json.h"
 #include "eelgrasspin/result.h"
 #include "fleet/registry.h"
+#include "io/connection_limits.h"
 #include "io/endpoint.h"
 #include "io/log.h"
 #include "io/memory_limits.h"
@@ -45,6 +46,7 @@
 /// For ports whose requests have no body.
 HttpServerOptions small_request_options() {
   HttpServerOptions options;
+  options.max_connections = kSmallPortConnections;
   options.max_body_bytes = kMaxSmallRequestBodyBytes;
   return options;
 }
@@ -64,7 +66,8 @@
       state_(fleet::make_state(settings_, boottime_now())),
       store_feed_(io, store, settings_,
                   [this](const fleet::Event& event) { apply(event); }),
-      backend_pool_(io, memory_limits(settings_.memory_limit).answers),
+      backend_pool_(io, memory_limits(settings_.memory_limit).answers,
+                    connection_limits(settings_.max_connections).servers),
       caller_server_(io, caller_server_options(),
                      [this](const std::shared_ptr<HttpExchange>& exchange) {
                        on_caller_request(exchange);
@@ -85,8 +88,18 @@
 
 HttpServerOptions FleetShell::caller_server_options() {
   HttpServerOptions options;
-  options.max_total_body_bytes =
-      memory_limits(settings_.memory_limit).request_bodies;
+  MemoryLimits memory = memory_limits(settings_.memory_limit);
+  options.max_connections =
+      connection_limits(settings_.max_connections).callers;
+  options.max_request_bytes = memory.requests;
+  options.max_small_request_bytes = memory.small_requests;
+  options.max_response_bytes = memory.held_answers;
+  options.on_forced_close = [this](const Endpoint& remote,
+                                   std::string_view why) {
+    on_log_event(
+        fleet::LogEvent{"connection_closed",
+                        {{"from", remote.str()}, {"why", std::string(why)}}});
+  };
   options.make_refusal = [this](int status, const std::string& why,
                                 const HttpRequest& received) {
     std::string id = format_.caller_request_id(received);
@@ -248,15 +261,20 @@
   }
   CallerRequestHead& request = value(read);
   RequestId id(next_request_id_++);
-  open_requests_[id] = {exchange, request.caller_request_id, boottime_now()};
+  fleet::Fingerprint fingerprint = request_fingerprint(exchange->request());
+  // Freed when the request has ended; the exchange lasts until the caller has
+  // read the answer.
+  auto body =
+      std::make_shared<std::string>(std::move(exchange->request().body));
+  open_requests_[id] = {exchange, std::move(body), request.caller_request_id,
+                        boottime_now()};
   exchange->on_abandoned([this, id] {
     open_requests_.erase(id);
     apply(fleet::CallerLeft{id});
   });
   apply(fleet::RequestReceived{id, std::move(request.caller_request_id),
                                std::move(request.host), std::move(request.path),
-                               request.key, request.deadline,
-                               request_fingerprint(exchange->request())});
+                               request.key, request.deadline, fingerprint});
 }
 
 void FleetShell::send_attempt(const fleet::SendAttempt& attempt) {
@@ -266,7 +284,7 @@
   const std::shared_ptr<HttpExchange>& exchange = open->second.exchange;
   HttpRequest request =
       format_.make_server_request(exchange->request(), attempt);
-  request.shared_body = {exchange, &exchange->request().body};
+  request.shared_body = open->second.body;
   BackendPool::Call call{
       std::move(request),
       attempt.address,
@@ -397,9 +415,18 @@
                     {"fleet_backend_connections_made",
                      "Connections made to backend servers",
                      static_cast<double>(backend_pool_.connections_made())},
-                    {"fleet_request_body_bytes",
-                     "Bodies of requests that have not been answered",
-                     static_cast<double>(caller_server_.body_bytes())},
+                    {"fleet_caller_connections", "Connections of callers",
+                     static_cast<double>(caller_server_.connections())},
+                    {"fleet_backend_connections",
+                     "Connections to backend servers for requests",
+                     static_cast<double>(backend_pool_.connections())},
+                    {"fleet_request_bytes",
+                     "Memory of callers' connections, and of their requests "
+                     "that have not been answered",
+                     static_cast<double>(caller_server_.request_bytes())},
+                    {"fleet_held_answer_bytes",
+                     "Memory of answers that callers have not read completely",
+                     static_cast<double>(caller_server_.response_bytes())},
                     {"fleet_answer_body_bytes",
                      "Bodies of backend servers' answers that are being read",
                      static_cast<double>(backend_pool_.response_bytes())},
--- a/src/io/fleet_shell.h
+++ b/src/io/fleet_shell.h
@@ -51,6 +51,7 @@
  private:
   struct OpenRequest {
     std::shared_ptr<HttpExchange> exchange;
+    std::shared_ptr<const std::string> body;
     std::string caller_request_id;
     TimePoint received;
   };
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -205,6 +205,24 @@
         });
   }
 
+  /// Detects that the server closes an idle connection. A buffer for each of
+  /// them would take more memory than all requests.
+  void wait_idle() {
+    buffer_.shrink_to_fit();
+    if (reading_) return;
+    reading_ = true;
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](error_code failed) {
+                         self->on_idle_readable(failed);
+                       });
+  }
+
+  void on_idle_readable(error_code failed) {
+    reading_ = false;
+    if (phase_ == Phase::kIdle) return close_socket();
+    if (phase_ == Phase::kSending && !failed) read_more();
+  }
+
   void on_read(error_code failed, std::size_t count) {
     reading_ = false;
     if (phase_ == Phase::kClosed) return;
@@ -283,7 +301,7 @@
         skipped_response_count_ > 0) {
       close_socket();
     } else {
-      read_more();  // Detects that the server closes the connection.
+      wait_idle();
     }
     HttpCallback done = std::move(done_);
     done_ = nullptr;
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -8,11 +8,15 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <deque>
+#include <new>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "io/byte_budget.h"
 #include "io/endpoint.h"
+#include "io/http_client.h"
+#include "io/progress.h"
 
 namespace eelgrasspin::io {
 
@@ -24,11 +28,31 @@
 
 namespace {
 constexpr std::size_t kReadChunkBytes = 16 * 1024;
-/// Bodies up to this size are received although all bodies exceed their limit.
-constexpr std::size_t kSmallBodyBytes = 64 * 1024;
 constexpr Duration kDiscardInputTimeout = milliseconds(500);
+/// Input that is read after a refusal, so that its sender gets the refusal. A
+/// larger body is left unread.
+constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
 /// Requests of one connection that are handled concurrently.
 constexpr std::size_t kMaxPipelinedRequests = 16;
+/// Memory of a connection or a request besides its buffers and its text.
+constexpr std::size_t kConnectionBytes = 4 * 1024;
+constexpr std::size_t kRequestBytes = 4 * 1024;
+/// Memory of a header field besides its text, when parsed and when copied.
+constexpr std::size_t kFieldBytes = 128;
+/// A field of 4 bytes takes 64 to 80 while the header is incomplete.
+constexpr std::size_t kBytesPerHeaderByte = 20;
+/// The allocator gives larger buffers pages of their own, which take memory
+/// only where bytes have been written.
+constexpr std::size_t kMinPagedBytes = 128 * 1024;
+/// Bytes that are read of a request which has to wait for earlier ones.
+constexpr std::size_t kMaxUnparsedBytes = 4 * 1024;
+/// The part of the memory for requests that connections without one may take.
+constexpr std::size_t kConnectionsPart = 4;
+constexpr Duration kAcceptRetryInterval = milliseconds(20);
+/// After the system had no descriptor left, there are fewer connections by a
+/// quarter for this time.
+constexpr Duration kDescriptorShortage = seconds(10);
+constexpr std::size_t kMinConnections = 4;
 class Connection;
 }  // namespace
 
@@ -36,22 +60,48 @@
   Impl(asio::io_context& io_context, HttpServerOptions opts, Handler handle)
       : io(io_context),
         acceptor(io_context),
+        accept_timer(io_context),
         options(std::move(opts)),
         handler(std::move(handle)) {
-    if (options.max_total_body_bytes > 0) {
-      body_budget = std::make_shared<ByteBudget>(options.max_total_body_bytes);
+    if (options.max_request_bytes > 0) {
+      request_budget = std::make_shared<ByteBudget>(options.max_request_bytes);
+    }
+    if (options.max_response_bytes > 0) {
+      response_budget =
+          std::make_shared<ByteBudget>(options.max_response_bytes);
     }
   }
 
   void accept();
+  void on_accepted(error_code failed, tcp::socket socket);
+  std::size_t max_connections(TimePoint now) const;
+  /// Closes the connection that is needed least: one without a request, or the
+  /// one that has sent nothing of its request for the longest time, or that
+  /// does not read its response. False if there is none.
+  bool close_one(std::string_view why);
+  /// Refuses requests that are being received until the limits are kept.
+  void free_request_bytes();
+  /// Closes connections that do not read until the limit is kept.
+  void free_response_bytes();
+  /// The same, later: closing may call handlers.
+  void free_response_bytes_soon();
+  void force_close(const std::shared_ptr<Connection>& connection,
+                   std::string_view why);
   HttpResponse make_refusal(int status, std::string why,
                             const HttpRequest& received) const;
 
   asio::io_context& io;
   tcp::acceptor acceptor;
+  asio::steady_timer accept_timer;
   HttpServerOptions options;
   Handler handler;
-  std::shared_ptr<ByteBudget> body_budget;  ///< Null: no limit.
+  std::shared_ptr<ByteBudget> request_budget;   ///< Null: no limit.
+  std::shared_ptr<ByteBudget> response_budget;  ///< Null: no limit.
+  /// Part of `request_budget` held by requests that can still be refused.
+  std::size_t receiving_bytes = 0;
+  bool freeing_response_bytes = false;
+  std::size_t reduced_connections = 0;  ///< Limit until `reduced_until`.
+  TimePoint reduced_until;
   std::set<std::shared_ptr<Connection>> connections;
   std::size_t open_exchanges = 0;
   bool closing = false;
@@ -102,18 +152,51 @@
   return 400;
 }
 
+std::size_t text_bytes(const HeaderFields& headers) {
+  std::size_t bytes = 0;
+  for (const auto& [name, value] : headers)
+    bytes += kFieldBytes + name.size() + value.size();
+  return bytes;
+}
+
+/// Memory of a body; it may be longer than what has been written to it.
+std::size_t body_memory(const std::string& body) {
+  return body.capacity() < kMinPagedBytes
+             ? body.capacity()
+             : std::max(body.size(), std::size_t{kMinPagedBytes});
+}
+
+std::size_t memory_of(const HttpRequest& request) {
+  return kRequestBytes + text_bytes(request.headers) +
+         body_memory(request.body);
+}
+
+std::size_t memory_of(const HttpResponse& response) {
+  return kRequestBytes + text_bytes(response.headers) +
+         body_memory(response.body);
+}
+
+bool is_descriptor_shortage(error_code failed) {
+  return failed == asio::error::no_descriptors ||
+         failed == boost::system::errc::too_many_files_open_in_system ||
+         failed == asio::error::no_buffer_space ||
+         failed == asio::error::no_memory;
+}
+
 /// One request of a connection, queued until its response can be sent.
 class Exchange : public HttpExchange {
  public:
   Exchange(std::weak_ptr<Connection> connection, HttpRequest request,
-           std::shared_ptr<ByteBudget> body_budget, bool keep_alive,
+           const std::shared_ptr<HttpServer::Impl>& server, bool keep_alive,
            bool is_head_request)
       : connection_(std::move(connection)),
+        server_(server),
         request_(std::move(request)),
-        body_share_(std::move(body_budget)),
+        request_share_(server->request_budget),
+        response_share_(server->response_budget),
         keep_alive_(keep_alive),
         is_head_request_(is_head_request) {
-    body_share_.set(request_.body.size());
+    request_share_.set(memory_of(request_));
   }
 
   HttpRequest& request() override { return request_; }
@@ -137,11 +220,20 @@
   bool finished() const { return response_ || raw_bytes_; }
   bool keep_alive() const { return keep_alive_; }
   bool is_head_request() const { return is_head_request_; }
+  std::size_t response_bytes() const { return response_share_.bytes(); }
 
  private:
+  /// Counts the response, and no longer a body that the handler has taken.
+  void count_response(std::size_t bytes) {
+    request_share_.set(memory_of(request_));
+    response_share_.set(bytes);
+  }
+
   std::weak_ptr<Connection> connection_;
+  std::weak_ptr<HttpServer::Impl> server_;
   HttpRequest request_;
-  ByteShare body_share_;
+  ByteShare request_share_;
+  ByteShare response_share_;
   std::function<void()> on_abandoned_;
   std::optional<HttpResponse> response_;
   std::optional<std::string> raw_bytes_;
@@ -158,12 +250,16 @@
       : server_(std::move(server)),
         socket_(std::move(socket)),
         timer_(socket_.get_executor()),
-        received_share_(server_->body_budget),
+        own_share_(server_->request_budget),
+        received_share_(server_->request_budget),
         buffer_(server_->options.max_header_bytes + kReadChunkBytes) {}
 
   void start() {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    own_share_.set(kConnectionBytes);
+    start_progress(progress_, steady_now());
     tcp::endpoint remote = socket_.remote_endpoint(ignored);
     remote_ = to_endpoint(remote);
     expect_request();
@@ -202,6 +298,38 @@
     close();
   }
 
+  /// Refuses the request that is being received.
+  void refuse_for_memory() {
+    if (receiving_ && !closed_)
+      refuse(503, "too many bodies are being received");
+  }
+
+  const Endpoint& remote() const { return remote_; }
+  bool receiving() const { return receiving_; }
+  /// No request in progress.
+  bool idle() const {
+    return exchanges_.empty() && !receiving_ && !writing_ && !discarding_input_;
+  }
+  /// The refusal of its last request has been sent.
+  bool refused() const { return discarding_input_; }
+  /// Has sent all its requests completely; one of them is not answered yet.
+  bool waits_for_answer() const {
+    return !receiving_ && !writing_ && !exchanges_.empty();
+  }
+  /// What the request that is being received holds, and how it progresses.
+  Holding received(TimePoint now) const {
+    return {received_share_.bytes(), is_slow(progress_, now), progress_.last};
+  }
+  /// What the responses hold that have not been sent completely.
+  Holding unsent(TimePoint now) const {
+    Holding holding;
+    for (const auto& exchange : exchanges_)
+      holding.bytes += exchange->response_bytes();
+    holding.slow = writing_ && is_slow(write_progress_, now);
+    holding.last_progress = write_progress_.last;
+    return holding;
+  }
+
   void stall() { stalled_ = true; }
   bool stalled() const { return stalled_; }
   /// Closes the connection if no request is in progress.
@@ -228,13 +356,50 @@
 
   /// Frees what has been received of a request that will not be handled.
   void drop_received() {
-    received_share_.set(0);
+    count_received(0);
     parser_.reset();
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+  }
+
+  void count_received(std::size_t bytes) {
+    server_->receiving_bytes += bytes - received_share_.bytes();
+    received_share_.set(bytes);
+  }
+
+  /// What the request that is being received holds now.
+  std::size_t received_memory() const {
+    return buffer_.capacity() + head_bytes_ +
+           body_memory(parser_->get().body());
+  }
+
+  void count_head(std::size_t consumed) {
+    if (head_checked_) return;
+    if (!parser_->is_header_done()) {
+      head_bytes_ += consumed * kBytesPerHeaderByte;
+      return;
+    }
+    head_bytes_ = kRequestBytes;
+    for (const auto& field : parser_->get().base()) {
+      head_bytes_ +=
+          2 * kFieldBytes + field.name_string().size() + field.value().size();
+    }
+  }
+
+  /// Whether a body of this length has room beside the requests that cannot be
+  /// refused any more.
+  bool could_hold(std::uint64_t bytes) const {
+    if (!server_->request_budget || bytes <= kSmallRequestBytes) return true;
+    std::size_t limit = server_->request_budget->limit();
+    std::size_t kept =
+        server_->request_budget->used() - server_->receiving_bytes;
+    return kept < limit && bytes <= limit - kept;
   }
 
   void start_parser() {
     receiving_ = false;
-    received_share_.set(0);
+    count_received(0);
+    head_bytes_ = 0;
     parser_.emplace();
     parser_->header_limit(
         static_cast<std::uint32_t>(server_->options.max_header_bytes));
@@ -251,27 +416,63 @@
   }
 
   void read_more() {
-    std::size_t room =
-        std::min(kReadChunkBytes, buffer_.max_size() - buffer_.size());
-    if (reading_ || closed_ || room == 0) return;
+    if (reading_ || closed_ || input_room() == 0) return;
     reading_ = true;
-    socket_.async_read_some(
-        buffer_.prepare(room),
-        [self = shared_from_this()](error_code failed, std::size_t count) {
-          self->on_read(failed, count);
-        });
+    // There is a buffer only while there is something to read: most
+    // connections are idle most of the time.
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](error_code failed) {
+                         self->on_readable(failed);
+                       });
   }
 
-  void on_read(error_code failed, std::size_t count) {
+  /// Bytes to read next. Input that cannot be parsed yet stays with its sender.
+  std::size_t input_room() const {
+    std::size_t limit = may_parse() || discarding_input_ ? buffer_.max_size()
+                                                         : kMaxUnparsedBytes;
+    return std::min(kReadChunkBytes, limit - std::min(limit, buffer_.size()));
+  }
+
+  void on_readable(error_code failed) {
     reading_ = false;
     if (closed_ || stalled_) return;
+    std::size_t count = 0;
+    if (!failed && input_room() == 0) return;
+    if (!failed) {
+      count = socket_.read_some(buffer_.prepare(input_room()), failed);
+    }
+    if (failed == asio::error::would_block) {
+      buffer_.shrink_to_fit();
+      return read_more();
+    }
     if (failed) return on_read_failed();
     buffer_.commit(count);
-    if (discarding_input_) {
-      buffer_.clear();
-      return read_more();
+    record_progress(progress_, count, steady_now());
+    if (discarding_input_) return discard(count);
+    if (may_parse()) return parse();
+    count_unparsed();
+  }
+
+  /// Counts input that waits until earlier requests have been answered.
+  void count_unparsed() {
+    if (buffer_.size() < buffer_.capacity() / 2) buffer_.shrink_to_fit();
+    own_share_.set(kConnectionBytes + buffer_.capacity());
+  }
+
+  /// A body that the system has no memory for ends its connection only.
+  void parse() {
+    try {
+      parse_input();
+    } catch (const std::bad_alloc&) {
+      server_->force_close(shared_from_this(), "no memory");
     }
-    if (may_parse()) parse();
+  }
+
+  void discard(std::size_t count) {
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+    discarded_bytes_ += count;
+    if (discarded_bytes_ < kMaxDiscardedBytes) read_more();
   }
 
   void on_read_failed() {
@@ -291,27 +492,31 @@
            (receiving_ || server_->accepting);
   }
 
-  void parse() {
+  void parse_input() {
     if (!receiving_) {
       receiving_ = true;
+      own_share_.set(kConnectionBytes);
+      start_progress(progress_, steady_now());
       start_timer(server_->options.receive_timeout);
     }
     error_code failed;
     std::size_t consumed = parser_->put(buffer_.data(), failed);
     buffer_.consume(consumed);
+    if (buffer_.size() < buffer_.capacity() / 2) buffer_.shrink_to_fit();
+    count_head(consumed);
     if (parser_->is_header_done() && !head_checked_) {
       head_checked_ = true;
       std::string why = framing_error(parser_->get().base());
       if (!why.empty()) return refuse(400, std::move(why));
-      if (!received_share_.could_hold(parser_->content_length().value_or(0)))
+      if (!could_hold(parser_->content_length().value_or(0)))
         return refuse(503, "no memory for a body of this length");
       if (!parser_->is_done()) send_continue();
     }
     if (failed == http::error::need_more) failed = {};
     if (failed) return refuse(refusal_status(failed), failed.message());
-    received_share_.set(parser_->get().body().size());
-    if (received_share_.exceeds(kSmallBodyBytes))
-      return refuse(503, "too many bodies are being received");
+    count_received(received_memory());
+    server_->free_request_bytes();
+    if (!receiving_) return;  // Refused.
     if (parser_->is_done()) return dispatch();
     if (buffer_.size() >= buffer_.max_size()) {
       return refuse(431, "header too large");
@@ -332,10 +537,10 @@
 
   std::shared_ptr<Exchange> add(HttpRequest request, bool keep_alive,
                                 bool is_head_request) {
-    received_share_.set(0);
-    auto exchange = std::make_shared<Exchange>(
-        weak_from_this(), std::move(request), server_->body_budget, keep_alive,
-        is_head_request);
+    count_received(0);
+    auto exchange =
+        std::make_shared<Exchange>(weak_from_this(), std::move(request),
+                                   server_, keep_alive, is_head_request);
     exchanges_.push_back(exchange);
     ++server_->open_exchanges;
     return exchange;
@@ -361,7 +566,8 @@
     if (!stop_parsing_ && !pipeline_full()) return expect_request();
     // The next request may arrive when the pipeline has room again.
     start_parser();
-    if (buffer_.size() < buffer_.max_size()) read_more();
+    count_unparsed();
+    read_more();
   }
 
   void refuse(int status, std::string why) {
@@ -389,28 +595,44 @@
     if (stalled_) return;
     writing_ = true;
     HttpResponse response = exchange.take_response();
-    auto message = std::make_shared<http::response<http::string_body>>();
-    message->version(11);
-    message->result(static_cast<unsigned>(response.status));
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(static_cast<unsigned>(response.status));
     for (const auto& [name, value] : response.headers)
-      message->insert(name, value);
+      message.insert(name, value);
     // Later requests that have been read must be answered before the close.
     bool last = exchanges_.size() == 1;
     bool close_requested =
         response.close || !exchange.keep_alive() || server_->closing;
     close_after_response_ = close_requested && last;
     if (close_after_response_) stop_parsing_ = true;
-    message->keep_alive(!close_after_response_);
+    message.keep_alive(!close_after_response_);
     bool without_body = response.status == 204 || response.status == 304;
-    if (!without_body) message->body() = std::move(response.body);
-    if (!without_body && !exchange.is_head_request())
-      message->prepare_payload();
-    if (exchange.is_head_request()) message->body().clear();
+    if (!without_body) message.body() = std::move(response.body);
+    if (!without_body && !exchange.is_head_request()) message.prepare_payload();
+    if (exchange.is_head_request()) message.body().clear();
     if (!receiving_) start_timer(server_->options.receive_timeout);
-    http::async_write(
-        socket_, *message,
-        [self = shared_from_this(), message](error_code failed, std::size_t) {
-          self->on_sent(failed);
+    start_progress(write_progress_, steady_now());
+    write(std::make_shared<Outgoing>(std::move(message)));
+  }
+
+  struct Outgoing {
+    explicit Outgoing(http::response<http::string_body> response)
+        : message(std::move(response)), serializer(message) {}
+    http::response<http::string_body> message;
+    http::response_serializer<http::string_body> serializer;
+  };
+
+  void write(std::shared_ptr<Outgoing> outgoing) {
+    auto& serializer = outgoing->serializer;
+    http::async_write_some(
+        socket_, serializer,
+        [self = shared_from_this(), outgoing = std::move(outgoing)](
+            error_code failed, std::size_t count) {
+          record_progress(self->write_progress_, count, steady_now());
+          if (failed || outgoing->serializer.is_done())
+            return self->on_sent(failed);
+          self->write(outgoing);
         });
   }
 
@@ -443,14 +665,18 @@
     timer_.async_wait([self = shared_from_this()](error_code failed) {
       if (!failed) self->close();
     });
-    buffer_.clear();
-    read_more();
+    discard(buffer_.size());
   }
 
   std::shared_ptr<HttpServer::Impl> server_;
   tcp::socket socket_;
   asio::steady_timer timer_;
-  ByteShare received_share_;  ///< Of the request that is being received.
+  ByteShare own_share_;
+  ByteShare received_share_;    ///< Of the request that is being received.
+  std::size_t head_bytes_ = 0;  ///< Memory of its header.
+  Progress progress_;           ///< Of receiving.
+  Progress write_progress_;     ///< Of sending the response.
+  std::size_t discarded_bytes_ = 0;
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   std::deque<std::shared_ptr<Exchange>> exchanges_;
@@ -472,13 +698,16 @@
   if (connection_ended_ || finished()) return;
   on_abandoned_ = nullptr;
   response_ = std::move(response);
+  count_response(memory_of(*response_));
   if (auto connection = connection_.lock()) connection->flush();
+  if (auto server = server_.lock()) server->free_response_bytes_soon();
 }
 
 void Exchange::send_raw_and_close(std::string bytes) {
   if (connection_ended_ || finished()) return;
   on_abandoned_ = nullptr;
   raw_bytes_ = std::move(bytes);
+  count_response(raw_bytes_->size());
   if (auto connection = connection_.lock()) connection->flush();
 }
 
@@ -489,18 +718,133 @@
 }  // namespace
 
 void HttpServer::Impl::accept() {
-  acceptor.async_accept([self = shared_from_this()](error_code failed,
-                                                    tcp::socket socket) {
-    if (!self->acceptor.is_open()) return;
-    if (!failed && self->connections.size() < self->options.max_connections) {
-      auto connection = std::make_shared<Connection>(self, std::move(socket));
-      self->connections.insert(connection);
-      connection->start();
+  acceptor.async_accept(
+      [self = shared_from_this()](error_code failed, tcp::socket socket) {
+        if (!self->acceptor.is_open()) return;
+        self->on_accepted(failed, std::move(socket));
+      });
+}
+
+void HttpServer::Impl::on_accepted(error_code failed, tcp::socket socket) {
+  TimePoint now = steady_now();
+  if (is_descriptor_shortage(failed)) {
+    // The waiting caller stays in the queue of the system, and accepting again
+    // at once would fail again without a pause.
+    reduced_connections = std::max(connections.size() * 3 / 4, kMinConnections);
+    reduced_until = now + kDescriptorShortage;
+    while (connections.size() > reduced_connections &&
+           close_one("no descriptor")) {
     }
-    self->accept();
+    accept_timer.expires_after(kAcceptRetryInterval);
+    return accept_timer.async_wait(
+        [self = shared_from_this()](error_code cancelled) {
+          if (!cancelled && self->acceptor.is_open()) self->accept();
+        });
+  }
+  if (!failed && (connections.size() < max_connections(now) ||
+                  close_one("too many connections"))) {
+    auto connection =
+        std::make_shared<Connection>(shared_from_this(), std::move(socket));
+    connections.insert(connection);
+    connection->start();
+  }
+  accept();
+}
+
+std::size_t HttpServer::Impl::max_connections(TimePoint now) const {
+  std::size_t limit = options.max_connections;
+  if (request_budget) {
+    limit = std::min(
+        limit, options.max_request_bytes / kConnectionsPart / kConnectionBytes);
+  }
+  if (now < reduced_until) limit = std::min(limit, reduced_connections);
+  return limit;
+}
+
+bool HttpServer::Impl::close_one(std::string_view why) {
+  TimePoint now = steady_now();
+  std::shared_ptr<Connection> chosen;
+  int chosen_rank = 0;
+  Holding chosen_holding;
+  for (const auto& connection : connections) {
+    if (connection->waits_for_answer()) continue;
+    bool idle = connection->idle();
+    Holding holding = idle || connection->receiving()
+                          ? connection->received(now)
+                          : connection->unsent(now);
+    int rank = idle ? 0 : holding.slow || connection->refused() ? 1 : 2;
+    // A response that is being read is not cut short.
+    if (rank == 2 && !connection->receiving()) continue;
+    bool better = !chosen || rank < chosen_rank ||
+                  (rank == chosen_rank &&
+                   holding.last_progress < chosen_holding.last_progress);
+    if (!better) continue;
+    chosen = connection;
+    chosen_rank = rank;
+    chosen_holding = holding;
+  }
+  if (chosen) force_close(chosen, why);
+  return chosen != nullptr;
+}
+
+void HttpServer::Impl::free_request_bytes() {
+  if (!request_budget || request_budget->used() <= request_budget->limit())
+    return;
+  TimePoint now = steady_now();
+  std::vector<std::shared_ptr<Connection>> candidates;
+  std::vector<Holding> holdings;
+  for (const auto& connection : connections) {
+    if (!connection->receiving()) continue;
+    candidates.push_back(connection);
+    holdings.push_back(connection->received(now));
+  }
+  HoldingLimits limits = {
+      options.max_request_bytes,
+      std::max(options.max_request_bytes, options.max_small_request_bytes),
+      kSmallRequestBytes};
+  for (std::size_t index :
+       choose_to_end(holdings, request_budget->used(), limits)) {
+    candidates[index]->refuse_for_memory();
+  }
+}
+
+void HttpServer::Impl::free_response_bytes_soon() {
+  if (freeing_response_bytes || !response_budget ||
+      response_budget->used() <= response_budget->limit()) {
+    return;
+  }
+  freeing_response_bytes = true;
+  asio::post(io, [weak = weak_from_this()] {
+    if (auto self = weak.lock()) self->free_response_bytes();
   });
 }
 
+void HttpServer::Impl::free_response_bytes() {
+  freeing_response_bytes = false;
+  TimePoint now = steady_now();
+  std::vector<std::shared_ptr<Connection>> candidates;
+  std::vector<Holding> holdings;
+  for (const auto& connection : connections) {
+    Holding holding = connection->unsent(now);
+    if (holding.bytes == 0) continue;
+    candidates.push_back(connection);
+    holdings.push_back(holding);
+  }
+  HoldingLimits limits = {options.max_response_bytes,
+                          options.max_response_bytes, kSmallRequestBytes};
+  for (std::size_t index :
+       choose_to_end(holdings, response_budget->used(), limits)) {
+    force_close(candidates[index], "answer not read");
+  }
+}
+
+void HttpServer::Impl::force_close(
+    const std::shared_ptr<Connection>& connection, std::string_view why) {
+  if (options.on_forced_close)
+    options.on_forced_close(connection->remote(), why);
+  connection->close();
+}
+
 HttpResponse HttpServer::Impl::make_refusal(int status, std::string why,
                                             const HttpRequest& received) const {
   if (options.make_refusal)
@@ -546,6 +890,7 @@
   impl_->accepting = false;
   error_code ignored;
   impl_->acceptor.close(ignored);
+  impl_->accept_timer.cancel();
 }
 
 void HttpServer::close_after_answers() { impl_->closing = true; }
@@ -580,8 +925,12 @@
 
 std::size_t HttpServer::open_exchanges() const { return impl_->open_exchanges; }
 
-std::size_t HttpServer::body_bytes() const {
-  return impl_->body_budget ? impl_->body_budget->used() : 0;
+std::size_t HttpServer::request_bytes() const {
+  return impl_->request_budget ? impl_->request_budget->used() : 0;
+}
+
+std::size_t HttpServer::response_bytes() const {
+  return impl_->response_budget ? impl_->response_budget->used() : 0;
 }
 
 }  // namespace eelgrasspin::io
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "eelgrasspin/config.h"
 #include "eelgrasspin/ids.h"
@@ -34,10 +35,15 @@
   std::size_t max_header_bytes = config::kMaxHeaderBytes;
   std::size_t max_body_bytes = config::kMaxBodyBytes;
   std::size_t max_connections = config::kMaxCallerConnections;
-  /// Limit of the bodies of all requests that have not been answered. Beyond
-  /// it, requests are refused with 503 while they are received, but for those
-  /// with a body of up to 64 KB. 0: no limit.
-  std::size_t max_total_body_bytes = 0;
+  /// Limit of what the connections and the requests that have not been
+  /// answered hold. Beyond it, requests are refused with 503 while they are
+  /// received: slow and large ones first. 0: no limit.
+  std::size_t max_request_bytes = 0;
+  /// The same limit for requests of up to kSmallRequestBytes.
+  std::size_t max_small_request_bytes = 0;
+  /// Limit of the responses that have not been sent completely. Beyond it, the
+  /// connections that read least are closed. 0: no limit.
+  std::size_t max_response_bytes = 0;
   /// Longest time from the first byte of a request to its last.
   Duration receive_timeout = config::kRequestReceiveTimeout;
   /// Longest time a connection stays open without a request.
@@ -47,8 +53,15 @@
   std::function<HttpResponse(int status, std::string why,
                              const HttpRequest& received)>
       make_refusal;
+  /// Called for a connection that is closed to keep a limit.
+  std::function<void(const Endpoint& remote, std::string_view why)>
+      on_forced_close;
 };
 
+/// A request that holds more is refused before smaller ones. Photo uploads have
+/// up to 360 KB.
+inline constexpr std::size_t kSmallRequestBytes = 512 * 1024;
+
 /// HTTP/1.1 server on one port. Not thread safe; runs on one io_context.
 class HttpServer {
  public:
@@ -83,8 +96,10 @@
   std::size_t connections() const;
   /// Number of requests whose response has not been sent completely.
   std::size_t open_exchanges() const;
-  /// Bytes of the bodies of these requests, and of those being received.
-  std::size_t body_bytes() const;
+  /// What the connections hold of `max_request_bytes`.
+  std::size_t request_bytes() const;
+  /// What they hold of `max_response_bytes`.
+  std::size_t response_bytes() const;
 
   struct Impl;
 
--- a/tests/backend_pool_test.cc
+++ b/tests/backend_pool_test.cc
@@ -319,6 +319,39 @@
   }
 }
 
+/// Guards against connections to servers that take all descriptors. A call
+/// without one fails as not sent.
+TEST_F(BackendPoolTest, ConnectionsStayWithinTheirLimit) {
+  constexpr std::size_t kMaxConnections = 2;
+  tcp::acceptor silent(
+      io_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  Endpoint to_silent("127.0.0.1:" +
+                     std::to_string(silent.local_endpoint().port()));
+  BackendPool pool(io_, config::kMaxPoolAnswerBytes, kMaxConnections);
+  std::vector<HttpResult> ended;
+  auto start = [&](const Endpoint& to, const std::string& path) {
+    return pool.start(
+        {{"GET", path, {{"Host", "h"}}, "", {}}, to, seconds(5)},
+        [&](HttpResult result, const BackendPool::ConnectionUse&) {
+          ended.push_back(std::move(result));
+        });
+  };
+  start(server_.endpoint(), "/");
+  ASSERT_TRUE(run_until(io_, [&] { return ended.size() == 1; }));
+  EXPECT_EQ(pool.connections(), 1U);
+  start(to_silent, "/");
+  start(to_silent, "/");  // Closes the idle connection.
+  EXPECT_EQ(pool.connections(), kMaxConnections);
+  std::uint64_t cancelled = start(to_silent, "/");
+  start(to_silent, "/");
+  pool.cancel(cancelled);
+  ASSERT_TRUE(run_until(io_, [&] { return ended.size() == 2; }));
+  const auto* failure = std::get_if<HttpFailure>(&ended.back());
+  ASSERT_NE(failure, nullptr);
+  EXPECT_EQ(failure->kind, HttpFailureKind::kRefused);
+  EXPECT_EQ(pool.connections(), kMaxConnections);
+}
+
 /// Several endless responses share one memory limit, and short responses are
 /// still read.
 TEST_F(BackendPoolTest, EndlessAnswersTogetherStayWithinTheLimit) {
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -45,6 +45,17 @@
   EXPECT_EQ(settings.unknown_names, std::vector<std::string>{"some.new.field"});
 }
 
+// Guards against connections that take the descriptors reserved for files.
+TEST(PlatformSettings, ReservesDescriptorsForFiles) {
+  auto max_connections = [](const std::string& more) {
+    auto checked = read(std::string(kSettings) + more);
+    return std::get<DaemonSettings>(checked).fleet.max_connections;
+  };
+  EXPECT_EQ(max_connections(""), 0u);
+  EXPECT_EQ(max_connections("self.limits.maxFds=3075\n"), 2875u);
+  EXPECT_GT(max_connections("self.limits.maxFds=100\n"), 0u);
+}
+
 TEST(PlatformSettings, MissingAndWrongFieldsAreListedTogether) {
   auto checked = read(
       "self.node=x\nself.ip=10.0.0.1\nself.zone=a\nnonsense\n"
