--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -1,5 +1,6 @@
 #include "io/http_server.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -28,6 +29,9 @@
 
 namespace {
 constexpr std::size_t kReadChunkBytes = 16 * 1024;
+/// Of a body with a known length. Reads of 16 KB, together with a heap trimmed
+/// to 128 KB, took a quarter more processor time for a body of 60 KB.
+constexpr std::size_t kBodyReadBytes = 64 * 1024;
 constexpr Duration kDiscardInputTimeout = milliseconds(500);
 /// Input that is read after a refusal, so that its sender gets the refusal. A
 /// larger body is left unread.
@@ -252,7 +256,7 @@
         timer_(socket_.get_executor()),
         own_share_(server_->request_budget),
         received_share_(server_->request_budget),
-        buffer_(server_->options.max_header_bytes + kReadChunkBytes) {}
+        buffer_(server_->options.max_header_bytes + kBodyReadBytes) {}
 
   void start() {
     error_code ignored;
@@ -430,7 +434,13 @@
   std::size_t input_room() const {
     std::size_t limit = may_parse() || discarding_input_ ? buffer_.max_size()
                                                          : kMaxUnparsedBytes;
-    return std::min(kReadChunkBytes, limit - std::min(limit, buffer_.size()));
+    return std::min(read_size(), limit - std::min(limit, buffer_.size()));
+  }
+
+  std::size_t read_size() const {
+    if (!receiving_ || !head_checked_) return kReadChunkBytes;
+    std::uint64_t left = parser_->content_length_remaining().value_or(0);
+    return std::clamp<std::uint64_t>(left, kReadChunkBytes, kBodyReadBytes);
   }
 
   void on_readable(error_code failed) {
@@ -518,7 +528,7 @@
     server_->free_request_bytes();
     if (!receiving_) return;  // Refused.
     if (parser_->is_done()) return dispatch();
-    if (buffer_.size() >= buffer_.max_size()) {
+    if (buffer_.size() >= server_->options.max_header_bytes + kReadChunkBytes) {
       return refuse(431, "header too large");
     }
     read_more();
