--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -35,6 +35,8 @@
   std::optional<Duration> evacuation_time;
   /// Bytes of memory that the process may use.
   std::size_t memory_limit = std::size_t{256} << 20;
+  /// Connections that the process may have open. 0: unknown.
+  std::size_t max_connections = 0;
 };
 
 }  // namespace eelgrasspin::fleet
