Learn how many requests at once each server takes well

Cause: every server was sent its slots and 3 more, although some slow down when half full, and waiting there was read as slowness.

Change: latencies are kept by the number of requests at the server. A server is limited where latency grows faster than the square root of the requests, beyond what noise explains. Rejections lower the limit at once; what servers state of their load replaces older loads. Daemons send their answers to the coordinator of the service with the key load reports; it tells all daemons which servers it has limited. Choice and placement use the limit.

--- a/src/codec/fleet_json.cc
+++ b/src/codec/fleet_json.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/json.hpp>
+#include <cmath>
 
 #include "codec/fleet_fields_p.h"
 
@@ -62,6 +63,65 @@
   return static_cast<double>(number(value)) / 100;
 }
 
+/// Pairs of the number of answers and their mean time in microseconds.
+json::array curve_array(const fleet::LoadCurve& curve) {
+  std::size_t used = curve.levels.size();
+  while (used > 0 && hundredths(curve.levels[used - 1].answer_count) == 0)
+    --used;
+  json::array levels;
+  for (std::size_t i = 0; i < used; ++i) {
+    double mean_us = std::exp(curve.levels[i].mean_log) * 1e3;
+    levels.push_back(hundredths(curve.levels[i].answer_count));
+    levels.push_back(
+        static_cast<std::uint64_t>(std::clamp(mean_us, 1.0, 1e12)));
+  }
+  return levels;
+}
+
+fleet::LoadCurve curve_of(const json::value& value) {
+  constexpr double kMaxAnswers = 1e6;
+  const json::array& parts = value.as_array();
+  fleet::LoadCurve curve;
+  for (std::size_t i = 0; i < curve.levels.size() && 2 * i + 1 < parts.size();
+       ++i) {
+    double mean_us = static_cast<double>(number(parts[2 * i + 1]));
+    curve.levels[i] = {std::min(from_hundredths(parts[2 * i]), kMaxAnswers),
+                       std::log(std::max(mean_us, 1.0) / 1e3)};
+  }
+  return curve;
+}
+
+/// Earlier versions send and read the first three fields only.
+json::array service_time_array(
+    const fleet::Heartbeat::MeasuredServiceTime& entry) {
+  json::array fields = {entry.server.str(), hundredths(entry.answer_count),
+                        to_ms(entry.service_time)};
+  json::array latencies = curve_array(entry.latencies);
+  json::array work_times = curve_array(entry.work_times);
+  if (entry.concurrency == 0 && latencies.empty() && work_times.empty())
+    return fields;
+  fields.emplace_back(entry.incarnation.value);
+  fields.emplace_back(entry.concurrency);
+  if (latencies.empty() && work_times.empty()) return fields;
+  fields.emplace_back(std::move(latencies));
+  if (!work_times.empty()) fields.emplace_back(std::move(work_times));
+  return fields;
+}
+
+fleet::Heartbeat::MeasuredServiceTime service_time_of(
+    const json::array& fields) {
+  fleet::Heartbeat::MeasuredServiceTime entry{
+      ServerName(view_of(fields.at(0))), from_hundredths(fields.at(1)),
+      milliseconds(number(fields.at(2)))};
+  if (fields.size() > 4) {
+    entry.incarnation = Incarnation(number(fields[3]));
+    entry.concurrency = fields[4].to_number<std::uint32_t>();
+  }
+  if (fields.size() > 5) entry.latencies = curve_of(fields[5]);
+  if (fields.size() > 6) entry.work_times = curve_of(fields[6]);
+  return entry;
+}
+
 json::array key_load_reports_array(const fleet::Heartbeat& heartbeat) {
   json::array key_load_reports;
   for (const auto& report : heartbeat.key_load_reports) {
@@ -71,11 +131,8 @@
       keys.push_back(hundredths(key.request_count));
     }
     json::array service_times;
-    for (const auto& entry : report.service_times) {
-      service_times.push_back(json::array{entry.server.str(),
-                                          hundredths(entry.answer_count),
-                                          to_ms(entry.service_time)});
-    }
+    for (const auto& entry : report.service_times)
+      service_times.push_back(service_time_array(entry));
     key_load_reports.push_back(json::array{
         report.service.str(), std::move(keys), std::move(service_times)});
   }
@@ -92,10 +149,7 @@
                            from_hundredths(keys[i + 1])});
   }
   for (const json::value& entry : parts.at(2).as_array()) {
-    const json::array& fields = entry.as_array();
-    report.service_times.push_back({ServerName(view_of(fields.at(0))),
-                                    from_hundredths(fields.at(1)),
-                                    milliseconds(number(fields.at(2)))});
+    report.service_times.push_back(service_time_of(entry.as_array()));
   }
   return report;
 }
--- a/src/fleet/attempts.cc
+++ b/src/fleet/attempts.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "fleet/capacity_reports.h"
 #include "fleet/cold_servers.h"
 #include "fleet/learning.h"
 #include "fleet/log_event.h"
@@ -18,6 +19,34 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/// Records what the end of an attempt shows of how much the server takes.
+void record_capacity(State& state, const RequestState& request,
+                     const AttemptEnded& ended, TimePoint now,
+                     Effects& effects) {
+  auto found = state.servers.find(request.server);
+  if (found == state.servers.end() ||
+      found->second.server.incarnation != request.server_incarnation) {
+    return;
+  }
+  ServerState& server = found->second;
+  std::uint32_t slots = server.server.slots;
+  if (ended.notice.load) {
+    record_statement(server.capacity, *ended.notice.load, server.in_flight,
+                     slots, now);
+  }
+  if (ended.result == AttemptResult::kAnswered && ended.status < kServerError) {
+    record_answer(server.capacity, now - request.sent_at,
+                  request.in_flight_at_send + 1, slots, now);
+  }
+  // A rejection for another reason does not show that the server is full.
+  if (ended.result == AttemptResult::kNotRun && !ended.notice.leaving &&
+      !ended.notice.request_limit && accepts_work(server) &&
+      !is_cold(state, server, now)) {
+    record_rejection(server.capacity, slots, now);
+  }
+  log_concurrency(server, now, effects);
+}
+
 /// Sends the request again if it has attempts left, else refuses it.
 void try_again(State& state, RequestState& request, std::string_view reason,
                TimePoint now, Effects& effects) {
@@ -146,6 +175,7 @@
   on_server_notice(state, server_of(request), ended.notice, now, effects);
   on_limit_notice(state, server_of(request), ended, request.sent_at, now,
                   effects);
+  record_capacity(state, request, ended, now, effects);
   if (ended.result == AttemptResult::kAnswered ||
       ended.result == AttemptResult::kNotRun) {
     on_server_alive(state, server_of(request), request.sent_at);
--- a/src/fleet/choice.cc
+++ b/src/fleet/choice.cc
@@ -27,7 +27,7 @@
     const Candidate& candidate = candidates[index];
     if (candidate.distance > furthest || !has_room(candidate, objective))
       continue;
-    if (free_slot_only && candidate.load >= candidate.slots) continue;
+    if (free_slot_only && candidate.load >= usable_slots(candidate)) continue;
     Duration finish = expected_finish(candidate);
     if (candidate.distance == Distance::kOtherRegion) {
       finish += scaled(objective, kOtherRegionPenaltyShare);
@@ -39,11 +39,16 @@
 
 }  // namespace
 
+std::uint32_t usable_slots(const Candidate& candidate) {
+  if (candidate.concurrency == 0) return candidate.slots;
+  return std::min(candidate.concurrency, candidate.slots);
+}
+
 Duration expected_wait(const Candidate& candidate) {
-  if (candidate.load < candidate.slots) return Duration(0);
-  double queued_ahead =
-      static_cast<double>(candidate.load - candidate.slots) + 0.5;
-  return scaled(candidate.service_time, queued_ahead / candidate.slots);
+  std::uint32_t slots = usable_slots(candidate);
+  if (candidate.load < slots) return Duration(0);
+  double queued_ahead = static_cast<double>(candidate.load - slots) + 0.5;
+  return scaled(candidate.service_time, queued_ahead / slots);
 }
 
 Duration expected_finish(const Candidate& candidate) {
@@ -53,8 +58,9 @@
 }
 
 bool has_room(const Candidate& candidate, Duration objective) {
-  if (candidate.load < candidate.slots) return true;
-  return candidate.load < candidate.slots + config::kMaxServerQueue &&
+  std::uint32_t slots = usable_slots(candidate);
+  if (candidate.load < slots) return true;
+  return candidate.load < slots + config::kMaxServerQueue &&
          expected_wait(candidate) + candidate.service_time <= objective;
 }
 
--- a/src/fleet/choice.h
+++ b/src/fleet/choice.h
@@ -20,8 +20,14 @@
   std::uint32_t load = 0;     ///< Requests of all daemons at the server.
   Duration service_time{0};   ///< Of one request in one slot.
   double success_rate = 1.0;  ///< Share of requests that succeed.
+  /// Requests at once that the server takes well; 0: as many as its slots.
+  std::uint32_t concurrency = 0;
 };
 
+/// Requests that may run at the server at once: its learned concurrency, within
+/// its slots.
+std::uint32_t usable_slots(const Candidate& candidate);
+
 /// Time until a slot is expected to be free for one more request.
 Duration expected_wait(const Candidate& candidate);
 /// expected_wait() plus service time, longer for a server that fails requests.
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -282,6 +282,47 @@
 /// Time for which heartbeats repeat a limit that an answer has stated.
 inline constexpr Duration kLimitReportTime = seconds(2);
 
+// Learned concurrency of servers.
+/// Half-life of latencies in the lower half of a server's slots. With 6 s, busy
+/// servers had no latency at low load to compare with.
+inline constexpr Duration kLowLoadHalfLife = seconds(20);
+/// Half-life of latencies in the upper half, by which a server that has become
+/// fast again is noticed.
+inline constexpr Duration kHighLoadHalfLife = seconds(3);
+/// Answers, decayed, on each side of a limit that are needed to judge it.
+inline constexpr double kMinCurveAnswers = 4.0;
+/// Standard errors by which latencies have to grow for a first limit, beyond
+/// the growth that is worth the further requests. 3.5 found too few limits.
+inline constexpr double kFirstLimitErrors = 2.5;
+/// Likewise to keep or lower a limit.
+inline constexpr double kKeepLimitErrors = 0.5;
+/// Answers with extreme latencies count as this ratio to their level's mean:
+/// 1 to 3 % of requests take 3 to 7 times as long as usual.
+inline constexpr double kMaxLatencyRatio = 2.5;
+/// Interval of steps upwards where answers above the limit show no slow-down.
+inline constexpr Duration kRaiseInterval = milliseconds(700);
+/// Interval of steps upwards where no answers show what happens above the
+/// limit. Doubles with each step that had to be taken back.
+inline constexpr Duration kProbeInterval = milliseconds(1500);
+inline constexpr Duration kMaxProbeInterval = seconds(6);
+/// Factor of the limit on a rejection, at most once per kRejectionInterval, and
+/// not below this share of the slots: a server rejects only when it is full.
+inline constexpr double kRejectionFactor = 0.7;
+inline constexpr double kRejectionFloorShare = 0.5;
+inline constexpr Duration kRejectionInterval = milliseconds(300);
+/// Time per step upwards after the last rejection. With 700 ms, fewer requests
+/// were answered in time than without limits after rejections.
+inline constexpr Duration kRejectionRecovery = milliseconds(250);
+/// Age from which on what the coordinator has learned is ignored: three
+/// intervals of its reports, and a relay's delay.
+inline constexpr Duration kMaxSharedCapacityAge = milliseconds(2500);
+/// Half-life of the influence of a load that a server has stated itself.
+inline constexpr Duration kStatedLoadHalfLife = milliseconds(250);
+/// Age from which on a stated load is ignored.
+inline constexpr Duration kMaxStatedLoadAge = seconds(1);
+/// Minimum time between two log events about the concurrency of a server.
+inline constexpr Duration kCapacityLogInterval = seconds(1);
+
 // Registry of backend servers.
 /// Time after an outage of the store in which entries that expired during it
 /// may return before their servers count as gone: the platform states about two
--- a/src/fleet/learning.cc
+++ b/src/fleet/learning.cc
@@ -49,18 +49,21 @@
 
 Candidate candidate_of(const State& state, const ServerState& server,
                        TimePoint now) {
+  const ServerCapacity& capacity = server.capacity;
   return {server.server.name,
           distance_to(state, server.server.zone),
           server.server.slots,
-          load_at(state, server),
-          service_time(state, server, now),
-          current_success_rate(server, now)};
+          present_load(capacity, load_at(state, server), server.in_flight, now),
+          present_service_time(capacity, service_time(state, server, now), now),
+          current_success_rate(server, now),
+          concurrency(capacity, server.server.slots, now)};
 }
 
 void record_latency(State& state, ServerState& server, Duration latency,
                     std::uint32_t load, TimePoint now) {
-  // The latency of a request that has waited for a slot is not service time.
-  if (load >= server.server.slots) return;
+  // The latency of a request that has waited for a slot, or has run while the
+  // server was slowed down by its load, is not service time.
+  if (load >= concurrency(server.capacity, server.server.slots, now)) return;
   server.service_time = updated_mean(server.service_time, latency);
   server.answer_count =
       decayed_value(server.answer_count, now - server.answer_count_at,
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -165,6 +165,20 @@
   std::uint32_t sent = 0;  ///< Requests sent within kLimitCountWindow.
 };
 
+/// Latencies of a server, or the work times that it has stated, by the number
+/// of requests that it had, as decayed counts and means.
+struct LoadCurve {
+  /// Servers with more slots have several numbers of requests in one level.
+  static constexpr std::size_t kLevels = 8;
+  struct Level {
+    double answer_count = 0;  ///< Decayed.
+    double mean_log = 0;      ///< Mean of the logarithms of times in ms.
+    bool operator==(const Level&) const = default;
+  };
+  std::array<Level, kLevels> levels{};
+  bool operator==(const LoadCurve&) const = default;
+};
+
 /// State of a daemon that it sends to the others several times per second.
 struct Heartbeat {
   DaemonRecord daemon;
@@ -193,9 +207,17 @@
     ServerName server;
     double answer_count = 0;   ///< Decayed number of answers.
     Duration service_time{0};  ///< Mean over these answers.
+    /// The server's start that the next fields belong to.
+    Incarnation incarnation{};
+    /// What the coordinator has learned from all daemons; 0: not stated.
+    std::uint32_t concurrency = 0;
+    /// Answers since the last report, of this daemon or of its zone.
+    LoadCurve latencies{};
+    LoadCurve work_times{};
   };
-  /// Only in heartbeats to the coordinator of the service or to the zone's
-  /// relay.
+  /// To the coordinator of the service or to the zone's relay. A coordinator
+  /// sends all daemons one that only lists the servers whose concurrency is
+  /// below their slots.
   struct KeyLoadReport {
     ServiceName service;
     std::vector<KeyLoad> keys;
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fleet/capacity_reports.h"
 #include "fleet/cold_servers.h"
 #include "fleet/loads.h"
 #include "fleet/log_event.h"
@@ -131,6 +132,7 @@
     peer.heartbeat.key_load_reports = std::move(before.key_load_reports);
   } else {
     peer.key_loads_received_at = peer.received_at;
+    on_capacity_reports(state, from, heartbeat.key_load_reports, now, effects);
   }
   on_strikes(state, heartbeat.strikes, now);
   on_leaving_reports(state, heartbeat.leaving_servers, now, effects);
--- a/src/fleet/replan.cc
+++ b/src/fleet/replan.cc
@@ -141,7 +141,9 @@
                                     ? service_time(state, server, now)
                                     : measured->second;
     double seconds = static_cast<double>(time_per_request.count()) / 1e6;
-    double capacity = server.server.slots / std::max(seconds, 0.001);
+    std::uint32_t slots =
+        concurrency(server.capacity, server.server.slots, now);
+    double capacity = slots / std::max(seconds, 0.001);
     if (server.limit)
       capacity = std::min(capacity, server.limit->rate.per_second);
     servers.push_back(
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -13,6 +13,7 @@
 #include "fleet/effect.h"
 #include "fleet/event.h"
 #include "fleet/model.h"
+#include "fleet/server_capacity.h"
 #include "fleet/settings.h"
 
 namespace eelgrasspin::fleet {
@@ -65,6 +66,7 @@
   TimePoint backoff_until;
   double answer_count = 0;  ///< Decayed number of answers measured.
   TimePoint answer_count_at;
+  ServerCapacity capacity;  ///< How many requests at once it takes well.
   std::optional<ServerLimit> limit;
   TimePoint limit_withdrawn_at;  ///< Older statements do not count.
   TimePoint limit_dropped_at;    ///< When this daemon dropped the last limit.
@@ -186,6 +188,8 @@
   std::vector<DaemonIncarnation> predecessors;
   TimePoint started_at;      ///< When this daemon took the role.
   TimePoint last_placement;  ///< Time of the last placement round.
+  /// The last report to all daemons listed servers with limited concurrency.
+  bool limited_servers_reported = false;
   /// When keys last moved, by first key of the range.
   std::map<ShardKey, TimePoint> last_moves;
 };
--- a/src/fleet/zone_relay.cc
+++ b/src/fleet/zone_relay.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "fleet/capacity_reports.h"
 #include "fleet/loads.h"
 #include "fleet/peers.h"
 #include "fleet/registry.h"
@@ -181,6 +182,30 @@
   return report;
 }
 
+/// Tells all other daemons which servers this coordinator has limited.
+void send_limited_servers(State& state, const ServiceName& service,
+                          CoordinatorRole& role, TimePoint now,
+                          Effects& effects) {
+  Heartbeat::KeyLoadReport report = limited_servers_report(state, service, now);
+  // An empty report lifts the limits of the one before.
+  bool limited = !report.service_times.empty();
+  if (!limited && !role.limited_servers_reported) return;
+  role.limited_servers_reported = limited;
+  for (bool other_region : {false, true}) {
+    std::vector<Endpoint> to;
+    for (const auto& [name, daemon] : state.fleet.daemon_records) {
+      if (name != state.settings.self.name &&
+          (daemon.region != state.settings.self.region) == other_region) {
+        to.push_back(daemon.peer);
+      }
+    }
+    if (to.empty()) continue;
+    Heartbeat heartbeat = own_heartbeat(state, now, other_region);
+    heartbeat.key_load_reports.push_back(report);
+    effects.emplace_back(SendHeartbeat{std::move(heartbeat), std::move(to)});
+  }
+}
+
 }  // namespace
 
 std::optional<DaemonName> zone_relay(const State& state, const ZoneName& zone,
@@ -303,8 +328,12 @@
   state.fleet.key_loads_sent_at = now;
   const DaemonRecord& self = state.settings.self;
   auto relay = own_relay(state, now);
-  for (const auto& [service, map] : state.maps) {
-    if (!map.map || map.coordinator_role) continue;
+  for (auto& [service, map] : state.maps) {
+    if (!map.map) continue;
+    if (map.coordinator_role) {
+      send_limited_servers(state, service, *map.coordinator_role, now, effects);
+      continue;
+    }
     auto to = state.fleet.daemon_records.find(map.map->coordinator);
     if (to == state.fleet.daemon_records.end()) continue;
     bool coordinator_in_zone = to->second.zone == self.zone;
@@ -315,6 +344,7 @@
     Heartbeat heartbeat = own_heartbeat(state, now, other_region);
     heartbeat.key_load_reports.push_back(
         key_load_report(state, service, sends_for_zone, now));
+    add_unsent_answers(state, heartbeat.key_load_reports.back());
     effects.emplace_back(
         SendHeartbeat{std::move(heartbeat), {to->second.peer}});
   }
--- a/tests/fleet_messages_test.cc
+++ b/tests/fleet_messages_test.cc
@@ -2,6 +2,8 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <cmath>
+
 #include "codec/fleet_json.h"
 
 namespace eelgrasspin::codec {
@@ -194,5 +196,42 @@
   EXPECT_FALSE(read[1].limit);
 }
 
+/// Guards against a limit of a server's last start that is taken for one of the
+/// present start, and against answers that lose their number of requests.
+TEST(FleetMessages, WhatWasLearnedOfServersIsKept) {
+  fleet::Heartbeat heartbeat;
+  heartbeat.daemon.name = DaemonName("d1");
+  heartbeat.has_full_record = false;
+  fleet::Heartbeat::MeasuredServiceTime plain{ServerName("s1"), 2.5,
+                                              milliseconds(160)};
+  fleet::Heartbeat::MeasuredServiceTime limited{
+      ServerName("s2"), 0, milliseconds(160), Incarnation(7), 3};
+  fleet::Heartbeat::MeasuredServiceTime measured{
+      ServerName("s3"), 1, milliseconds(160), Incarnation(8)};
+  measured.latencies.levels[0] = {2, std::log(120.0)};
+  measured.latencies.levels[2] = {1.5, std::log(480.0)};
+  measured.work_times.levels[1] = {1, std::log(50.0)};
+  heartbeat.key_load_reports = {
+      {ServiceName("b"), {}, {plain, limited, measured}}};
+  std::string text = encode_heartbeat(heartbeat);
+  // Earlier versions read this form.
+  EXPECT_NE(text.find(R"(["s1",250,160])"), std::string::npos) << text;
+  auto decoded = decode_datagram(text);
+  ASSERT_TRUE(ok(decoded));
+  const auto& read = std::get<fleet::Heartbeat>(value(decoded))
+                         .key_load_reports.at(0)
+                         .service_times;
+  ASSERT_EQ(read.size(), 3u);
+  EXPECT_EQ(read[0].concurrency, 0u);
+  EXPECT_EQ(read[0].latencies, fleet::LoadCurve());
+  EXPECT_EQ(read[1].incarnation, Incarnation(7));
+  EXPECT_EQ(read[1].concurrency, 3u);
+  EXPECT_EQ(read[2].incarnation, Incarnation(8));
+  EXPECT_NEAR(read[2].latencies.levels[2].answer_count, 1.5, 0.01);
+  EXPECT_NEAR(read[2].latencies.levels[2].mean_log, std::log(480.0), 0.001);
+  EXPECT_EQ(read[2].latencies.levels[1].answer_count, 0);
+  EXPECT_NEAR(read[2].work_times.levels[1].mean_log, std::log(50.0), 0.001);
+}
+
 }  // namespace
 }  // namespace eelgrasspin::codec
