--- a/src/fleet/attempts.cc
+++ b/src/fleet/attempts.cc
@@ -38,10 +38,12 @@
     record_answer(server.capacity, now - request.sent_at,
                   request.in_flight_at_send + 1, slots, now);
   }
-  // A rejection for another reason does not show that the server is full.
-  if (ended.result == AttemptResult::kNotRun && !ended.notice.leaving &&
-      !ended.notice.request_limit && accepts_work(server) &&
-      !is_cold(state, server, now)) {
+  // A rejection for another reason does not show that the server is full. Where
+  // daemons may choose among servers, they reject because all chose the same
+  // one; limits then move the crowd to the next server.
+  if (request.key && ended.result == AttemptResult::kNotRun &&
+      !ended.notice.leaving && !ended.notice.request_limit &&
+      accepts_work(server) && !is_cold(state, server, now)) {
     record_rejection(server.capacity, slots, now);
   }
   log_concurrency(server, now, effects);
--- a/src/fleet/capacity_reports.cc
+++ b/src/fleet/capacity_reports.cc
@@ -31,8 +31,34 @@
   }
 }
 
+/// The first service that has a coordinator; end() if there is none.
+std::map<ServiceName, MapState>::const_iterator first_coordinated(
+    const State& state) {
+  return std::find_if(
+      state.maps.begin(), state.maps.end(),
+      [](const auto& entry) { return entry.second.map.has_value(); });
+}
+
+/// The map of the service, or of the one whose coordinator collects for it.
+const MapState* collecting_map(const State& state, const ServiceName& service) {
+  auto map = state.maps.find(service);
+  if (map == state.maps.end()) map = first_coordinated(state);
+  return map == state.maps.end() ? nullptr : &map->second;
+}
+
 }  // namespace
 
+std::vector<ServiceName> collected_with(const State& state,
+                                        const ServiceName& service) {
+  std::vector<ServiceName> services = {service};
+  auto first = first_coordinated(state);
+  if (first == state.maps.end() || first->first != service) return services;
+  for (const auto& [name, servers] : state.by_service) {
+    if (state.maps.count(name) == 0) services.push_back(name);
+  }
+  return services;
+}
+
 void add_unsent_answers(State& state, Heartbeat::KeyLoadReport& report) {
   auto listed = state.by_service.find(report.service);
   if (listed == state.by_service.end()) return;
@@ -75,13 +101,13 @@
                          const std::vector<Heartbeat::KeyLoadReport>& reports,
                          TimePoint now, Effects& effects) {
   for (const auto& report : reports) {
-    auto map = state.maps.find(report.service);
-    if (map == state.maps.end()) continue;
-    if (is_coordinator(map->second, from)) {
+    const MapState* map = collecting_map(state, report.service);
+    if (map == nullptr) continue;
+    if (is_coordinator(*map, from)) {
       adopt_limits(state, report, now);
       continue;
     }
-    bool forward = !map->second.coordinator_role.has_value();
+    bool forward = !map->coordinator_role.has_value();
     for (const auto& measured : report.service_times) {
       auto found = state.servers.find(measured.server);
       if (found == state.servers.end() ||
--- a/src/fleet/capacity_reports.h
+++ b/src/fleet/capacity_reports.h
@@ -10,6 +10,10 @@
 /// coordinator tells all daemons which servers it has limited.
 namespace eelgrasspin::fleet {
 
+/// The services whose answers the coordinator of `service` collects: that one,
+/// and for the first coordinated service also those that are not keyed.
+std::vector<ServiceName> collected_with(const State& state,
+                                        const ServiceName& service);
 /// Adds the answers that have not been reported yet to a report.
 void add_unsent_answers(State& state, Heartbeat::KeyLoadReport& report);
 /// The servers of the service whose concurrency is below their slots.
--- a/src/fleet/zone_relay.cc
+++ b/src/fleet/zone_relay.cc
@@ -186,9 +186,13 @@
 void send_limited_servers(State& state, const ServiceName& service,
                           CoordinatorRole& role, TimePoint now,
                           Effects& effects) {
-  Heartbeat::KeyLoadReport report = limited_servers_report(state, service, now);
+  std::vector<Heartbeat::KeyLoadReport> reports;
   // An empty report lifts the limits of the one before.
-  bool limited = !report.service_times.empty();
+  bool limited = false;
+  for (const ServiceName& name : collected_with(state, service)) {
+    reports.push_back(limited_servers_report(state, name, now));
+    limited = limited || !reports.back().service_times.empty();
+  }
   if (!limited && !role.limited_servers_reported) return;
   role.limited_servers_reported = limited;
   for (bool other_region : {false, true}) {
@@ -201,7 +205,7 @@
     }
     if (to.empty()) continue;
     Heartbeat heartbeat = own_heartbeat(state, now, other_region);
-    heartbeat.key_load_reports.push_back(report);
+    heartbeat.key_load_reports = reports;
     effects.emplace_back(SendHeartbeat{std::move(heartbeat), std::move(to)});
   }
 }
@@ -344,7 +348,10 @@
     Heartbeat heartbeat = own_heartbeat(state, now, other_region);
     heartbeat.key_load_reports.push_back(
         key_load_report(state, service, sends_for_zone, now));
-    add_unsent_answers(state, heartbeat.key_load_reports.back());
+    for (const ServiceName& name : collected_with(state, service)) {
+      if (name != service) heartbeat.key_load_reports.push_back({name, {}, {}});
+      add_unsent_answers(state, heartbeat.key_load_reports.back());
+    }
     effects.emplace_back(
         SendHeartbeat{std::move(heartbeat), {to->second.peer}});
   }
