--- a/src/fleet/zone_relay.cc
+++ b/src/fleet/zone_relay.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "fleet/capacity_reports.h"
 #include "fleet/hot_keys.h"
 #include "fleet/learning.h"
 #include "fleet/loads.h"
@@ -186,6 +187,34 @@
   return report;
 }
 
+/// Tells all other daemons which servers this coordinator has limited.
+void send_limited_servers(State& state, const ServiceName& service,
+                          CoordinatorRole& role, TimePoint now,
+                          Effects& effects) {
+  std::vector<Heartbeat::KeyLoadReport> reports;
+  // An empty report lifts the limits of the one before.
+  bool limited = false;
+  for (const ServiceName& name : collected_with(state, service)) {
+    reports.push_back(limited_servers_report(state, name, now));
+    limited = limited || !reports.back().service_times.empty();
+  }
+  if (!limited && !role.limited_servers_reported) return;
+  role.limited_servers_reported = limited;
+  for (bool other_region : {false, true}) {
+    std::vector<Endpoint> to;
+    for (const auto& [name, daemon] : state.fleet.daemon_records) {
+      if (name != state.settings.self.name &&
+          (daemon.region != state.settings.self.region) == other_region) {
+        to.push_back(daemon.peer);
+      }
+    }
+    if (to.empty()) continue;
+    Heartbeat heartbeat = own_heartbeat(state, now, other_region);
+    heartbeat.key_load_reports = reports;
+    effects.emplace_back(SendHeartbeat{std::move(heartbeat), std::move(to)});
+  }
+}
+
 }  // namespace
 
 std::optional<DaemonName> zone_relay(const State& state, const ZoneName& zone,
@@ -313,8 +342,15 @@
   if (hot_due) fleet.hot_key_loads_sent_at = now;
   const DaemonRecord& self = state.settings.self;
   auto relay = own_relay(state, now);
-  for (const auto& [service, map] : state.maps) {
-    if (!map.map || map.coordinator_role) continue;
+  for (auto& [service, map] : state.maps) {
+    if (!map.map) continue;
+    if (map.coordinator_role) {
+      if (ordinary_due) {
+        send_limited_servers(state, service, *map.coordinator_role, now,
+                             effects);
+      }
+      continue;
+    }
     bool hot = hot_due && is_overloaded(state, service, now);
     if (!ordinary_due && !hot) continue;
     auto to = fleet.daemon_records.find(map.map->coordinator);
@@ -327,6 +363,14 @@
     Heartbeat heartbeat = own_heartbeat(state, now, other_region);
     heartbeat.key_load_reports.push_back(
         key_load_report(state, service, sends_for_zone, other_region, now));
+    // Answers change slowly; a report of an overloaded service leaves them out.
+    if (ordinary_due) {
+      for (const ServiceName& name : collected_with(state, service)) {
+        if (name != service)
+          heartbeat.key_load_reports.push_back({name, {}, {}});
+        add_unsent_answers(state, heartbeat.key_load_reports.back());
+      }
+    }
     effects.emplace_back(
         SendHeartbeat{std::move(heartbeat), {to->second.peer}});
   }
