Admission control: who gets the capacity when it is short

Cause: every request found the same three queue places at a full server, whatever its objective, priority or history, and refused callers of a full owner were told to return after 100 ms, all at once.

Change: src/fleet/admission decides queue places per request: as many as end within its objective beside the requests that arrive unseen, at most one per slot (never less than before); a reserve for more urgent routes while requests are refused; more places for returning callers whose objective has not passed. Retry-After follows backlog and refusals and is spread.

Without overload nothing changes.

--- a/src/fleet/answers.cc
+++ b/src/fleet/answers.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "fleet/admission.h"
 #include "fleet/duration.h"
 #include "fleet/log_event.h"
 #include "fleet/quarantine.h"
@@ -10,11 +11,23 @@
 namespace eelgrasspin::fleet {
 namespace {
 
+/// Requests that the owner may have for this one to be sent there.
+std::string owner_room(const std::vector<Candidate>& candidates,
+                       const KeyRange* range) {
+  for (const Candidate& candidate : candidates) {
+    if (range != nullptr && candidate.name == range->owner.name &&
+        candidate.queue_places) {
+      return std::to_string(candidate.slots + *candidate.queue_places);
+    }
+  }
+  return "-";
+}
+
 /// Logs what was known when no server could take a request.
 void log_refusal(const State& state, const RequestState& request,
                  std::string_view reason,
-                 const std::vector<Candidate>& candidates, TimePoint now,
-                 Effects& effects) {
+                 const std::vector<Candidate>& candidates, Duration retry_delay,
+                 TimePoint now, Effects& effects) {
   auto map = state.maps.find(request.service);
   bool keyed = request.key && map != state.maps.end() && map->second.map;
   const KeyRange* range =
@@ -34,6 +47,9 @@
        {"owner_load", owner == state.servers.end()
                           ? "-"
                           : std::to_string(load_at(state, owner->second))},
+       {"owner_room", owner_room(candidates, range)},
+       {"returning", request.caller.retried ? "yes" : "no"},
+       {"retry_after", text(retry_delay)},
        {"arriving",
         range != nullptr && !range->previous_owners.empty() ? "yes" : "no"},
        {"map_revision", keyed ? text(map->second.revision.value) : "-"},
@@ -63,8 +79,44 @@
   return shortest;
 }
 
+bool is_lack_of_capacity(std::string_view reason) {
+  return reason == "servers_full" || reason == "server_refused" ||
+         reason == "retry_budget_spent";
+}
+
+/// Retry-After of a request for which the servers lacked capacity.
+Duration overload_retry_delay(State& state, const RequestState& request,
+                              std::vector<Candidate> candidates,
+                              TimePoint now) {
+  ServerName owner;
+  if (request.key) {
+    auto map = state.maps.find(request.service);
+    const KeyRange* range = map == state.maps.end() || !map->second.map
+                                ? nullptr
+                                : find_range(*map->second.map, *request.key);
+    if (range != nullptr) owner = range->owner.name;
+    std::erase_if(candidates, [&owner](const Candidate& candidate) {
+      return candidate.name != owner;
+    });
+  }
+  double refused =
+      count_refusal(state.refusal_counts[{request.service, ServerName()}], now);
+  if (!owner.empty()) {
+    refused =
+        count_refusal(state.refusal_counts[{request.service, owner}], now);
+  }
+  // The callers of the other daemons are as many on average.
+  double callers = refused * static_cast<double>(std::max<std::size_t>(
+                                 1, state.fleet.daemon_records.size()));
+  return retry_delay(
+      candidates, {time_left(request, now), request.route->objective,
+                   request.caller.elapsed + (now - request.arrived_at), callers,
+                   next_spread(state)});
+}
+
 /// Time after which the caller of a refused request should try again.
-Duration refusal_retry_delay(const State& state, const RequestState& request,
+Duration refusal_retry_delay(State& state, const RequestState& request,
+                             std::string_view reason,
                              std::vector<Candidate> candidates, TimePoint now) {
   if (auto end = quarantine_end(state, request.fingerprint); end && now < *end)
     return *end - now;
@@ -78,7 +130,10 @@
     Duration delay = shortest_admission_delay(state, request, now);
     return std::min(longest, std::max(delay, config::kMinRetryAfter));
   }
-  Duration delay = retry_after(candidates, left);
+  Duration delay =
+      state.settings.admission_control && is_lack_of_capacity(reason)
+          ? overload_retry_delay(state, request, candidates, now)
+          : retry_after(candidates, left);
   if (auto end = backoff_end(state, request, now); end && no_choice)
     delay = std::min(longest, std::max(delay, *end - now));
   return delay;
@@ -134,9 +189,9 @@
                   effects);
   }
   std::vector<Candidate> candidates = all_candidates(state, request, now);
-  log_refusal(state, request, reason, candidates, now, effects);
   Duration retry_delay =
-      refusal_retry_delay(state, request, std::move(candidates), now);
+      refusal_retry_delay(state, request, reason, candidates, now);
+  log_refusal(state, request, reason, candidates, retry_delay, now, effects);
   answer(state, request, kUnavailable, retry_delay, reason, now, effects);
 }
 
--- a/src/fleet/choice.cc
+++ b/src/fleet/choice.cc
@@ -54,6 +54,8 @@
 
 bool has_room(const Candidate& candidate, Duration objective) {
   if (candidate.load < candidate.slots) return true;
+  if (candidate.queue_places)
+    return candidate.load < candidate.slots + *candidate.queue_places;
   return candidate.load < candidate.slots + config::kMaxServerQueue &&
          expected_wait(candidate) + candidate.service_time <= objective;
 }
--- a/src/fleet/choice.h
+++ b/src/fleet/choice.h
@@ -20,6 +20,9 @@
   std::uint32_t load = 0;     ///< Requests of all daemons at the server.
   Duration service_time{0};   ///< Of one request in one slot.
   double success_rate = 1.0;  ///< Share of requests that succeed.
+  /// Requests beyond the slots that the request may find there; empty: any
+  /// request may find kMaxServerQueue that end within its objective.
+  std::optional<std::uint32_t> queue_places = std::nullopt;
 };
 
 /// Time until a slot is expected to be free for one more request.
@@ -27,8 +30,8 @@
 /// expected_wait() plus service time, longer for a server that fails requests.
 Duration expected_finish(const Candidate& candidate);
 /// Whether the server may be sent one more request: it has a free slot, or its
-/// queue is shorter than kMaxServerQueue and it is expected to answer within
-/// the objective.
+/// queue is shorter than `queue_places`, or without these shorter than
+/// kMaxServerQueue and the answer is expected within the objective.
 bool has_room(const Candidate& candidate, Duration objective);
 
 /// Index of the best candidate with a free slot that is no further away than
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -203,6 +203,28 @@
 /// Requests beyond its slots and kMaxServerQueue that may be queued at a server
 /// for callers that retry after a refusal.
 inline constexpr std::uint32_t kRetryingCallerExtraQueue = 1;
+/// Queue places of a server per slot, however much time a request has: more
+/// gave fewer refusals but more late answers, and none more in time.
+inline constexpr double kMaxQueuePlacesPerSlot = 1.0;
+/// Age of the loads known of other daemons: of the own zone, and of other
+/// regions.
+inline constexpr Duration kMinKnownLoadAge = kLoadChangeHeartbeatInterval;
+inline constexpr Duration kMaxKnownLoadAge = kOtherRegionBatchInterval;
+/// Queue places per slot that requests leave to each more urgent priority. A
+/// third served fewer requests of either priority in time.
+inline constexpr double kUrgentReserveShare = 0.5;
+/// Queue places per slot that only callers who retry after a refusal may use,
+/// times the share of their time that they have used up.
+inline constexpr double kMaxRetryingCallerShare = 0.5;
+/// Upper bound of Retry-After, as a share of the route's objective, for callers
+/// whose objective has not passed: later ones return too late for it.
+inline constexpr double kMaxRetryAfterObjectiveShare = 0.2;
+/// Half-life of the count of refusals by full servers: most refused callers
+/// have come back by then.
+inline constexpr Duration kRefusalHalfLife = milliseconds(500);
+/// Share of Retry-After by which it varies, so that refused callers do not
+/// return together.
+inline constexpr double kRetryAfterSpread = 0.5;
 /// A deadline below this share of the longest one seen on the route shows that
 /// the caller retries after a refusal.
 inline constexpr double kRetryingCallerDeadlineShare = 0.97;
--- a/src/fleet/dispatch.cc
+++ b/src/fleet/dispatch.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "fleet/admission.h"
 #include "fleet/budget.h"
 #include "fleet/cold_servers.h"
 #include "fleet/duration.h"
@@ -53,9 +54,19 @@
   return scaled(request.route->objective, config::kMaxWaitObjectiveShare);
 }
 
-/// Queue places that only callers who retry after a refusal may use.
-std::uint32_t retrying_caller_allowance(const RequestState& request) {
-  return request.retried_by_caller ? config::kRetryingCallerExtraQueue : 0;
+/// The server as a candidate for the request, with the room that it finds
+/// there.
+Candidate candidate_for(const State& state, const ServerState& server,
+                        const RequestState& request, TimePoint now) {
+  Candidate candidate = candidate_of(state, server, now);
+  if (state.settings.admission_control) {
+    set_queue_places(candidate, admission_request(state, request, now),
+                     server.in_flight);
+  } else if (request.caller.retried) {
+    candidate.load -=
+        std::min(candidate.load, config::kRetryingCallerExtraQueue);
+  }
+  return candidate;
 }
 
 std::variant<ServerName, Unavailable> owner_of(const State& state,
@@ -75,8 +86,7 @@
   if (!may_send_if_cold(state, server, now)) return Unavailable::kCold;
   if (now < server.backoff_until) return Unavailable::kBackoff;
   if (now < server.blocked_until) return Unavailable::kNoOwner;
-  Candidate owner = candidate_of(state, server, now);
-  owner.load -= std::min(owner.load, retrying_caller_allowance(request));
+  Candidate owner = candidate_for(state, server, request, now);
   if (!has_room(owner, request.route->objective)) return Unavailable::kFull;
   return range->owner.name;
 }
@@ -111,10 +121,7 @@
       search.cold = true;
       continue;
     }
-    Candidate candidate = candidate_of(state, *server, now);
-    candidate.load -=
-        std::min(candidate.load, retrying_caller_allowance(request));
-    search.candidates.push_back(std::move(candidate));
+    search.candidates.push_back(candidate_for(state, *server, request, now));
   }
 }
 
@@ -228,6 +235,11 @@
     const ServerState& server = state.servers.at(name);
     if (!is_usable(state, *request.route, server, now)) continue;
     candidates.push_back(candidate_of(state, server, now));
+    if (state.settings.admission_control) {
+      set_queue_places(candidates.back(),
+                       admission_request(state, request, now),
+                       server.in_flight);
+    }
   }
   return candidates;
 }
@@ -302,7 +314,7 @@
     if (found == state.requests.end()) continue;
     RequestState& request = found->second;
     bool first_choice = !request.key && request.tried_servers.empty() &&
-                        retrying_caller_allowance(request) == 0;
+                        !request.caller.retried;
     auto known = full.find(request.service);
     if (first_choice && known != full.end() &&
         request.route->objective <= known->second) {
@@ -314,8 +326,11 @@
     Duration objective = request.route->objective;
     dispatch(state, request, now, effects);
     found = state.requests.find(id);
+    // Less urgent requests have no more room; a deadline before the objective
+    // leaves less room than others have.
     if (first_choice && found != state.requests.end() &&
-        found->second.phase == RequestPhase::kWaiting) {
+        found->second.phase == RequestPhase::kWaiting &&
+        time_left(found->second, now) >= objective) {
       full[service] = std::max(full[service], objective);
     }
   }
--- a/src/fleet/requests.cc
+++ b/src/fleet/requests.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "fleet/admission.h"
 #include "fleet/budget.h"
 #include "fleet/cold_servers.h"
 #include "fleet/duration.h"
@@ -102,10 +103,9 @@
   if (received.deadline) {
     Duration& longest = state.deadlines[route->name];
     longest = std::max(longest, *received.deadline);
-    request.retried_by_caller =
-        *received.deadline <
-        scaled(longest, config::kRetryingCallerDeadlineShare);
+    request.caller = caller_history(*received.deadline, longest);
   }
+  request.urgency = urgency_at(*state.configuration, *route, request.service);
   Duration allowed = received.deadline.value_or(config::kDefaultDeadline);
   request.deadline = now + std::min(allowed, route->timeout);
   if (state.stopping && request.deadline > stop_answer_time(state)) {
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -33,6 +33,9 @@
   /// Time from an operator's order to evacuate a zone until its servers must be
   /// sent nothing more; empty: no such orders are given.
   std::optional<Duration> evacuation_time;
+  /// Whether queue places and Retry-After depend on the request; off only in
+  /// comparisons with the same places for all.
+  bool admission_control = true;
   /// Bytes of memory that the process may use.
   std::size_t memory_limit = std::size_t{256} << 20;
 };
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -221,6 +221,25 @@
 /// Whether a request waits for a server, or for the answer of one.
 enum class RequestPhase : std::uint8_t { kWaiting, kSent };
 
+/// What the deadline of a request shows of its caller's earlier attempts.
+struct CallerHistory {
+  bool retried = false;  ///< The caller was refused before.
+  Duration elapsed{0};   ///< Since its first attempt.
+};
+
+/// How urgent a request is among all that may be sent to its service.
+struct Urgency {
+  std::uint32_t level = 0;  ///< Number of more urgent priorities.
+  /// Of the routes with such a priority.
+  Duration shortest_objective{0};
+};
+
+/// Decayed number of refusals for lack of capacity.
+struct RefusalCount {
+  double count = 0;
+  TimePoint at;  ///< Of the last one.
+};
+
 /// A request of a caller that has not been answered yet.
 struct RequestState {
   RequestId id;
@@ -237,8 +256,9 @@
   ServerName server;  ///< Of the last attempt.
   Incarnation server_incarnation;
   TimePoint sent_at;
-  Duration expected_time{0};            ///< From send to answer.
-  bool retried_by_caller = false;       ///< The caller was refused before.
+  Duration expected_time{0};  ///< From send to answer.
+  CallerHistory caller;
+  Urgency urgency;
   std::uint32_t in_flight_at_send = 0;  ///< Requests at the server then.
   std::uint32_t sends = 0;              ///< Attempts that reached a server.
   std::uint32_t connect_failures = 0;
@@ -342,6 +362,9 @@
   std::uint64_t next_attempt = 1;
   std::map<ServiceName, BudgetState> budgets;
   std::map<ServiceName, ServiceStats> stats;
+  /// Refusals by full servers, by service and, for keyed requests, owner.
+  std::map<std::pair<ServiceName, ServerName>, RefusalCount> refusal_counts;
+  std::uint64_t refusals = 0;  ///< Refusals by full servers; see next_spread().
   std::map<std::string, SplitState> splits;  ///< By route name.
   /// The longest deadline that callers have set, by route name.
   std::map<std::string, Duration> deadlines;
