--- a/src/fleet/admission.cc
+++ b/src/fleet/admission.cc
@@ -103,11 +103,14 @@
                                    const RequestState& request, TimePoint now) {
   bool reserve =
       request.urgency.level > 0 && lacks_capacity(state, request.service, now);
-  return {request.route->objective, request.deadline - now, request.caller,
+  return {request.route->objective,
+          request.deadline - now,
+          request.caller,
           reserve ? request.urgency : Urgency(),
           config::kMinKnownLoadAge +
               scaled(config::kMaxKnownLoadAge - config::kMinKnownLoadAge,
-                     evenly_spread(0, request.id.value))};
+                     evenly_spread(0, request.id.value)),
+          request.key.has_value()};
 }
 
 Duration unseen_wait(const Candidate& candidate, std::uint32_t own_load,
@@ -122,7 +125,11 @@
 
 std::uint32_t queue_places(const AdmissionRequest& request,
                            const Candidate& candidate, std::uint32_t own_load) {
-  Duration unseen = unseen_wait(candidate, own_load, request.assumed_age);
+  // A request without a key can go to another server or wait here, and servers
+  // of other regions have requests that are not reported: no longer queue.
+  Duration unseen = request.keyed
+                        ? unseen_wait(candidate, own_load, request.assumed_age)
+                        : request.objective;
   double places = places_for(candidate, request.objective, unseen);
   double extra = 0;
   // Once the objective has passed, the answer is late anyhow: precedence would
--- a/src/fleet/admission.h
+++ b/src/fleet/admission.h
@@ -23,6 +23,7 @@
   /// Age of the loads known of other daemons; differs between requests, so that
   /// not every daemon fills the same gap.
   Duration assumed_age{0};
+  bool keyed = false;  ///< Only the owner can serve it.
 };
 
 /// How urgent requests of the route are at the service.
--- a/src/fleet/answers.cc
+++ b/src/fleet/answers.cc
@@ -86,8 +86,14 @@
 
 /// Retry-After of a request for which the servers lacked capacity.
 Duration overload_retry_delay(State& state, const RequestState& request,
-                              std::vector<Candidate> candidates,
-                              TimePoint now) {
+                              std::vector<Candidate> candidates, TimePoint now,
+                              Effects& effects) {
+  if (!lacks_capacity(state, request.service, now)) {
+    log_event(effects, "capacity_short",
+              {{"service", request.service.str()},
+               {"route", request.route->name},
+               {"priority", std::to_string(request.route->priority)}});
+  }
   ServerName owner;
   if (request.key) {
     auto map = state.maps.find(request.service);
@@ -117,7 +123,8 @@
 /// Time after which the caller of a refused request should try again.
 Duration refusal_retry_delay(State& state, const RequestState& request,
                              std::string_view reason,
-                             std::vector<Candidate> candidates, TimePoint now) {
+                             std::vector<Candidate> candidates, TimePoint now,
+                             Effects& effects) {
   if (auto end = quarantine_end(state, request.fingerprint); end && now < *end)
     return *end - now;
   Duration left = std::max(Duration(0), time_left(request, now));
@@ -132,7 +139,7 @@
   }
   Duration delay =
       state.settings.admission_control && is_lack_of_capacity(reason)
-          ? overload_retry_delay(state, request, candidates, now)
+          ? overload_retry_delay(state, request, candidates, now, effects)
           : retry_after(candidates, left);
   if (auto end = backoff_end(state, request, now); end && no_choice)
     delay = std::min(longest, std::max(delay, *end - now));
@@ -190,7 +197,7 @@
   }
   std::vector<Candidate> candidates = all_candidates(state, request, now);
   Duration retry_delay =
-      refusal_retry_delay(state, request, reason, candidates, now);
+      refusal_retry_delay(state, request, reason, candidates, now, effects);
   log_refusal(state, request, reason, candidates, retry_delay, now, effects);
   answer(state, request, kUnavailable, retry_delay, reason, now, effects);
 }
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -21,6 +21,7 @@
   made.objective = objective;
   made.time_left = seconds(6);
   made.assumed_age = config::kMinKnownLoadAge;
+  made.keyed = true;
   return made;
 }
 
@@ -56,6 +57,15 @@
   EXPECT_EQ(unseen_wait(full, 3, milliseconds(160)), milliseconds(80));
 }
 
+/// Load: a burst of requests without keys. Longer queues at servers whose
+/// requests are not all reported gave more rejections by servers.
+TEST(Admission, QueueStaysShortWhereAnotherServerCanTakeTheRequest) {
+  Candidate full = server(6, 6, milliseconds(480));
+  AdmissionRequest usual = request(milliseconds(1500));
+  usual.keyed = false;
+  EXPECT_EQ(queue_places(usual, full, 0), config::kMaxServerQueue);
+}
+
 /// A server of 2 slots has the places that all requests had before.
 TEST(Admission, SmallServersKeepTheirQueue) {
   for (std::uint32_t load = 0; load < 8; ++load) {
