--- a/src/fleet/choice.cc
+++ b/src/fleet/choice.cc
@@ -60,6 +60,8 @@
 bool has_room(const Candidate& candidate, Duration objective) {
   std::uint32_t slots = usable_slots(candidate);
   if (candidate.load < slots) return true;
+  if (candidate.queue_places)
+    return candidate.load < slots + *candidate.queue_places;
   return candidate.load < slots + config::kMaxServerQueue &&
          expected_wait(candidate) + candidate.service_time <= objective;
 }
