--- a/tests/hostile_callers_test.cc
+++ b/tests/hostile_callers_test.cc
@@ -244,6 +244,7 @@
 /// Bodies that take what larger ones have left of the memory.
 std::vector<Attack> filling_bodies() {
   std::vector<Attack> attacks;
+  attacks.reserve(kFillers);
   for (int i = 0; i < kFillers; ++i)
     attacks.push_back(sized_body(i, kFillerBytes, kMissingBytes));
   return attacks;
@@ -258,6 +259,7 @@
 TEST_F(HostileCallers, LargeBodiesThatStopShortOfTheirEnd) {
   Process& process = start_limited(21);
   std::vector<Attack> attacks;
+  attacks.reserve(kLargeBodies);
   for (int i = 0; i < kLargeBodies; ++i) {
     attacks.push_back(sized_body(i, kLargeBodyBytes,
                                  i % kCompleteEvery == 0 ? 0 : kMissingBytes));
@@ -271,6 +273,7 @@
 TEST_F(HostileCallers, LargeBodiesSentPieceByPiece) {
   Process& process = start_limited(22);
   std::vector<Attack> attacks;
+  attacks.reserve(kLargeBodies);
   for (int i = 0; i < kLargeBodies; ++i) {
     attacks.push_back(sized_body(i, kLargeBodyBytes,
                                  i % kCompleteEvery == 0 ? 0 : kMissingBytes));
@@ -288,6 +291,7 @@
   constexpr std::size_t kBodyBytes = 63'000;
   Process& process = start_limited(23);
   std::vector<Attack> attacks;
+  attacks.reserve(kBodies);
   for (int i = 0; i < kBodies; ++i)
     attacks.push_back(sized_body(i, kBodyBytes, kMissingBytes));
   run_attacks(process, std::move(attacks));
@@ -301,6 +305,7 @@
   constexpr std::size_t kSentBytes = 8 * 1024 * 1024;
   Process& process = start_limited(24);
   std::vector<Attack> attacks;
+  attacks.reserve(kBodies);
   for (int i = 0; i < kBodies; ++i) {
     attacks.push_back(
         sized_body(i, kDeclaredBytes, kDeclaredBytes - kSentBytes));
@@ -316,6 +321,7 @@
   constexpr std::size_t kChunks = 1200;
   Process& process = start_limited(25);
   std::vector<Attack> attacks;
+  attacks.reserve(kBodies);
   for (int i = 0; i < kBodies; ++i)
     attacks.push_back(chunked_body(i, kChunkBytes, kChunks, true));
   run_attacks(process, std::move(attacks));
@@ -327,6 +333,7 @@
   constexpr std::size_t kChunkBytes = 64 * 1024;
   Process& process = start_limited(26);
   std::vector<Attack> attacks;
+  attacks.reserve(kLargeBodies);
   for (int i = 0; i < kLargeBodies; ++i) {
     attacks.push_back(chunked_body(i, kChunkBytes,
                                    kLargeBodyBytes / kChunkBytes,
@@ -343,6 +350,7 @@
   constexpr std::size_t kChunks = 250'000;
   Process& process = start_limited(27);
   std::vector<Attack> attacks;
+  attacks.reserve(kBodies);
   for (int i = 0; i < kBodies; ++i)
     attacks.push_back(chunked_body(i, 1, kChunks, i % kCompleteEvery == 0));
   run_attacks(process, std::move(attacks));
@@ -382,6 +390,7 @@
   constexpr int kCallers = 900;
   Process& process = start_limited(29, kFewFds);
   std::vector<Attack> attacks;
+  attacks.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     Attack attack;
     attack.head = "POST /o/x HTTP/1.1\r\nHost: h\r\n";
--- a/tests/memory_limit_test.cc
+++ b/tests/memory_limit_test.cc
@@ -1,3 +1,8 @@
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdio>
+
 #include "tests/platform_processes.h"
 
 /// What others send without end is bounded, and the process lives on.
@@ -33,6 +38,39 @@
   EXPECT_LT(peak_memory_kb(process), kMemoryLimitMb * 1024);
 }
 
+// Guards against a body whose growth, while its length is unknown, takes more
+// than the memory.
+TEST_F(MemoryLimit, LargestChunkedBodyIsForwardedWhenNoOtherIsHeld) {
+  constexpr std::size_t kMemoryLimitMb = 260;
+  constexpr std::size_t kChunks = 1024;
+  const std::string chunk = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+  store_.put(kConfigKind, kActiveConfigName, configuration_with_large_bodies());
+  Process process = start(11, memory_setting(kMemoryLimitMb));
+  ASSERT_TRUE(become_ready(process));
+  std::string text =
+      "POST /o/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n" +
+      std::string(kRequestIdHeader) + ": large\r\n" + kDeadlineMsHeader +
+      ": 2000\r\n\r\n";
+  for (std::size_t i = 0; i < kChunks; ++i) text += chunk;
+  text += "0\r\n\r\n";
+  boost::asio::ip::tcp::socket socket(io_);
+  socket.connect(*io::parse_endpoint(callers(process)));
+  std::string received;
+  bool ended = false;
+  boost::asio::async_write(socket, boost::asio::buffer(text),
+                           [](boost::system::error_code, std::size_t) {});
+  boost::asio::async_read_until(
+      socket, boost::asio::dynamic_buffer(received), "body of large 67108864",
+      [&](boost::system::error_code, std::size_t) { ended = true; });
+  EXPECT_TRUE(run_until([&] { return ended; }));
+  EXPECT_TRUE(received.starts_with("HTTP/1.1 200 ")) << received;
+  EXPECT_LT(peak_memory_kb(process), kMemoryLimitMb * 1024);
+  std::printf("peak %zu KB\n", peak_memory_kb(process));
+  boost::system::error_code ignored;
+  socket.close(ignored);
+  run_until([] { return false; }, milliseconds(10));
+}
+
 TEST_F(MemoryLimit, BytesWithoutEndStayWithinTheMemoryLimit) {
   constexpr std::size_t kMemoryLimitMb = 160;
   constexpr std::size_t kBodyBytes = 30 * 1024 * 1024;
