Bytes in flight as a second dimension of room for uploads

Cause: a server crashes if its requests exceed its memory, and a link of 10 Mbit/s carries few large bodies at once; room was counted in slots.

Without room they wait, and are then refused with 503 as not sent (servers_full, link_full). Other routes and the messages of deployments without uploads do not change: the mark is sent only for uploads.

--- a/src/codec/store_update_json.cc
+++ b/src/codec/store_update_json.cc
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <boost/json.hpp>
 #include <stdexcept>
+#include <string_view>
 
 #include "codec/fleet_fields_p.h"
 #include "codec/fleet_json.h"
@@ -34,15 +36,21 @@
   return server;
 }
 
+constexpr std::string_view kUploadMark = "upload";
+
 json::array route_array(const fleet::Route& route) {
   json::array destinations;
   for (const fleet::Destination& destination : route.destinations) {
     destinations.push_back(
         json::array{destination.service.str(), destination.weight});
   }
-  return {route.name,           route.host,     route.prefix,
-          route.repeatable,     route.priority, to_ms(route.objective),
-          to_ms(route.timeout), route.attempts, std::move(destinations)};
+  json::array parts = {
+      route.name,           route.host,     route.prefix,
+      route.repeatable,     route.priority, to_ms(route.objective),
+      to_ms(route.timeout), route.attempts, std::move(destinations)};
+  // Absent from other routes, as earlier versions write them.
+  if (route.upload) parts.emplace_back(kUploadMark);
+  return parts;
 }
 
 fleet::Route route_of(const json::array& parts) {
@@ -61,6 +69,10 @@
         {ServiceName(view_of(destination.at(0))),
          destination.at(1).to_number<std::uint32_t>()});
   }
+  route.upload =
+      std::any_of(parts.begin() + 9, parts.end(), [](const json::value& part) {
+        return part.is_string() && view_of(part) == kUploadMark;
+      });
   // Reading the store never yields such a route, so one received from a daemon
   // is invalid.
   if (route.destinations.empty() || route.attempts == 0 ||
--- a/src/fleet/attempts.cc
+++ b/src/fleet/attempts.cc
@@ -111,7 +111,10 @@
   auto server = state.servers.find(request.server);
   if (server != state.servers.end() && server->second.in_flight > 0) {
     --server->second.in_flight;
+    server->second.body_bytes -=
+        std::min(server->second.body_bytes, request.body_bytes);
   }
+  state.upload_bytes -= std::min(state.upload_bytes, request.body_bytes);
   state.attempts.erase(request.attempt);
   state.fleet.load_changed = true;
 }
--- a/src/fleet/dispatch.cc
+++ b/src/fleet/dispatch.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 
+#include "fleet/body_room.h"
 #include "fleet/budget.h"
+#include "fleet/config.h"
 #include "fleet/duration.h"
 #include "fleet/learning.h"
 #include "fleet/log_event.h"
@@ -21,7 +23,8 @@
   kNoOwner,
   kFull,
   kBackoff,
-  kLimit
+  kLimit,
+  kLink
 };
 
 std::string_view reason_of(Unavailable why) {
@@ -36,6 +39,8 @@
       return "servers_in_backoff";
     case Unavailable::kLimit:
       return "server_limits";
+    case Unavailable::kLink:
+      return "link_full";
   }
   return "unknown";
 }
@@ -50,6 +55,24 @@
   return request.retried_by_caller ? config::kRetryingCallerExtraQueue : 0;
 }
 
+/// The candidate for a request. A server without room for the request's body
+/// has a full queue.
+Candidate candidate_for(const State& state, const RequestState& request,
+                        const ServerState& server, TimePoint now) {
+  Candidate candidate = candidate_of(state, server, now);
+  std::uint32_t load = candidate.load;
+  candidate.load -= std::min(load, retrying_caller_allowance(request));
+  if (!request.route->upload) return candidate;
+  auto mean = state.mean_body_bytes.find(request.service);
+  BodyLoad bodies = {server.body_bytes, load - std::min(load, server.in_flight),
+                     mean == state.mean_body_bytes.end() ? 0 : mean->second,
+                     candidate.slots};
+  if (!has_body_room(bodies, request.body_bytes)) {
+    candidate.load = std::max(load, candidate.slots + config::kMaxServerQueue);
+  }
+  return candidate;
+}
+
 std::variant<ServerName, Unavailable> owner_of(const State& state,
                                                const RequestState& request,
                                                TimePoint now) {
@@ -64,8 +87,7 @@
   const ServerState& server = state.servers.at(range->owner.name);
   if (now < server.backoff_until) return Unavailable::kBackoff;
   if (now < server.blocked_until) return Unavailable::kNoOwner;
-  Candidate owner = candidate_of(state, server, now);
-  owner.load -= std::min(owner.load, retrying_caller_allowance(request));
+  Candidate owner = candidate_for(state, request, server, now);
   if (!has_room(owner, request.route->objective)) return Unavailable::kFull;
   return range->owner.name;
 }
@@ -84,10 +106,7 @@
         denied_by(request, server->server.name)) {
       continue;
     }
-    Candidate candidate = candidate_of(state, *server, now);
-    candidate.load -=
-        std::min(candidate.load, retrying_caller_allowance(request));
-    candidates.push_back(std::move(candidate));
+    candidates.push_back(candidate_for(state, request, *server, now));
   }
   return usable;
 }
@@ -127,6 +146,11 @@
 std::variant<ServerName, Unavailable> choose_server(State& state,
                                                     RequestState& request,
                                                     TimePoint now) {
+  if (request.route->upload &&
+      !has_link_room(state.upload_bytes, request.body_bytes,
+                     request.route->objective)) {
+    return Unavailable::kLink;
+  }
   for (;;) {
     auto target = request.key ? owner_of(state, request, now)
                               : any_server(state, request, now);
@@ -155,6 +179,8 @@
   ++request.sends;
   if (!request.key) request.tried_servers.push_back(name);
   ++server.in_flight;
+  server.body_bytes += request.body_bytes;
+  state.upload_bytes += request.body_bytes;
   state.fleet.load_changed = true;
   state.attempts[request.attempt] = request.id;
   effects.emplace_back(SendAttempt{request.attempt, request.id, name, address,
@@ -268,7 +294,8 @@
     auto found = state.requests.find(id);
     if (found == state.requests.end()) continue;
     RequestState& request = found->second;
-    bool first_choice = !request.key && request.tried_servers.empty() &&
+    bool first_choice = !request.key && !request.route->upload &&
+                        request.tried_servers.empty() &&
                         retrying_caller_allowance(request) == 0;
     auto known = full.find(request.service);
     if (first_choice && known != full.end() &&
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -97,6 +97,7 @@
   std::optional<ShardKey> key;
   std::optional<Duration> deadline;  ///< Time from now that the caller allows.
   Fingerprint fingerprint;
+  std::size_t body_bytes = 0;
 };
 /// The caller has closed the connection of its request.
 struct CallerLeft {
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -33,6 +33,7 @@
   std::string host;
   std::string prefix;          ///< Begins and ends with a slash.
   bool repeatable = false;     ///< A request may be run more than once.
+  bool upload = false;         ///< Its requests have large bodies.
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   Duration objective{0};       ///< Response time that the route aims at.
   Duration timeout{0};         ///< Longest time until the final answer.
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -36,8 +36,10 @@
     }
     // Measurements belong to the incarnation that has ended.
     std::uint32_t in_flight = entry.in_flight;
+    std::size_t body_bytes = entry.body_bytes;
     entry = ServerState();
     entry.in_flight = in_flight;
+    entry.body_bytes = body_bytes;
   }
   if (added || restarted) entry.joined_at = now;
   entry.server = server;
--- a/src/fleet/requests.cc
+++ b/src/fleet/requests.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "fleet/body_room.h"
 #include "fleet/budget.h"
 #include "fleet/duration.h"
 #include "fleet/learning.h"
@@ -97,6 +98,9 @@
     count_key_request(state, request.service, *received.key, now);
   }
   request.fingerprint = received.fingerprint;
+  if (route->upload) request.body_bytes = received.body_bytes;
+  double& mean = state.mean_body_bytes[request.service];
+  mean = next_mean_bytes(mean, request.body_bytes);
   request.arrived_at = now;
   if (received.deadline) {
     Duration& longest = state.deadlines[route->name];
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -40,8 +40,10 @@
   /// The entry expired around an outage of the store and may return until then.
   std::optional<TimePoint> may_return_until;
   std::uint32_t in_flight = 0;  ///< Requests of this daemon at the server.
-  Duration service_time{0};     ///< Moving average; 0 until an answer.
-  double success_rate = 1.0;    ///< Moving average of successes.
+  /// Bodies of this daemon's uploads at the server.
+  std::size_t body_bytes = 0;
+  Duration service_time{0};   ///< Moving average; 0 until an answer.
+  double success_rate = 1.0;  ///< Moving average of successes.
   TimePoint success_rate_at;
   /// The server is not chosen until then, because a connection failed.
   TimePoint blocked_until;
@@ -214,6 +216,7 @@
   ServiceName service;
   std::optional<ShardKey> key;
   Fingerprint fingerprint;
+  std::size_t body_bytes = 0;  ///< Of an upload; else 0.
   TimePoint arrived_at;
   TimePoint deadline;  ///< The caller's or the route's, the earlier.
   RequestPhase phase = RequestPhase::kWaiting;
@@ -319,6 +322,9 @@
   std::map<RequestId, RequestState> requests;
   std::map<AttemptId, RequestId> attempts;
   std::uint64_t next_attempt = 1;
+  std::size_t upload_bytes = 0;  ///< Bodies of uploads that are at servers.
+  /// Mean body of a request, by service, uploads and others together.
+  std::map<ServiceName, double> mean_body_bytes;
   std::map<ServiceName, BudgetState> budgets;
   std::map<ServiceName, ServiceStats> stats;
   std::map<std::string, SplitState> splits;  ///< By route name.
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -261,6 +261,7 @@
   }
   CallerRequestHead& request = value(read);
   RequestId id(next_request_id_++);
+  std::size_t body_bytes = exchange->request().body.size();
   fleet::Fingerprint fingerprint = request_fingerprint(exchange->request());
   // Freed when the request has ended; the exchange lasts until the caller has
   // read the answer.
@@ -274,7 +275,8 @@
   });
   apply(fleet::RequestReceived{id, std::move(request.caller_request_id),
                                std::move(request.host), std::move(request.path),
-                               request.key, request.deadline, fingerprint});
+                               request.key, request.deadline, fingerprint,
+                               body_bytes});
 }
 
 void FleetShell::send_attempt(const fleet::SendAttempt& attempt) {
@@ -420,6 +422,9 @@
                     {"fleet_backend_connections",
                      "Connections to backend servers for requests",
                      static_cast<double>(backend_pool_.connections())},
+                    {"fleet_upload_bytes",
+                     "Bodies of uploads that are at backend servers",
+                     static_cast<double>(state_.upload_bytes)},
                     {"fleet_request_bytes",
                      "Memory of callers' connections, and of their requests "
                      "that have not been answered",
--- a/tests/fleet_messages_test.cc
+++ b/tests/fleet_messages_test.cc
@@ -86,6 +86,20 @@
   EXPECT_EQ(read.configuration->limits.idle_timeout, seconds(15));
 }
 
+// Guards against a daemon that reads the store through its relay and does not
+// know which requests have large bodies.
+TEST(FleetMessages, RoutesOfUploadsAreReadBack) {
+  fleet::StoreUpdate update = update_of_configuration();
+  auto configuration =
+      std::make_shared<fleet::Configuration>(*update.configuration);
+  configuration->routes.push_back(configuration->routes[0]);
+  configuration->routes[1].upload = true;
+  update.configuration = configuration;
+  fleet::StoreUpdate read = read_back(update);
+  EXPECT_FALSE(read.configuration->routes[0].upload);
+  EXPECT_TRUE(read.configuration->routes[1].upload);
+}
+
 TEST(FleetMessages, BatchesKeepAgesAndViews) {
   fleet::HeartbeatBatch batch;
   batch.forward_within_zone = true;
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -100,6 +100,18 @@
   EXPECT_EQ(read.limits.idle_timeout, seconds(15));
 }
 
+// Guards against uploads that run twice, and other kinds taken for uploads.
+TEST(PlatformObjects, UploadsAreNotRepeatable) {
+  std::string text = kConfiguration;
+  const std::string kind = "\"unsafe\"";
+  text.replace(text.find(kind), kind.size(), "\"upload\"");
+  auto read = read_configuration(text);
+  ASSERT_TRUE(ok(read));
+  EXPECT_FALSE(value(read).routes[0].upload);
+  EXPECT_TRUE(value(read).routes[1].upload);
+  EXPECT_FALSE(value(read).routes[1].repeatable);
+}
+
 TEST(PlatformObjects, HostsOfRoutesMatchInAnyCase) {
   std::string text = kConfiguration;
   text.replace(text.find("a.example"), 9, "A.Example");
