An own lack of connections does not block servers

Cause: a call without a connection, because the daemon has as many as it may or the system has no descriptor left, was taken for a server that refuses connections, which was then avoided for a while.

--- a/src/fleet/attempts.cc
+++ b/src/fleet/attempts.cc
@@ -79,7 +79,9 @@
 void on_not_sent(State& state, RequestState& request, const AttemptEnded& ended,
                  TimePoint now, Effects& effects) {
   auto server = state.servers.find(request.server);
-  if (server != state.servers.end()) {
+  if (ended.connections_exhausted) {
+    request.not_before = now + config::kOwnerRetryDelay;
+  } else if (server != state.servers.end()) {
     record_outcome(server->second, false, now);
     server->second.blocked_until = now + config::kConnectBackoff;
   }
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -127,6 +127,9 @@
   AttemptResult result = AttemptResult::kAnswerLost;
   int status = 0;
   bool no_listener = false;  ///< With kNotSent: the connection was refused.
+  /// With kNotSent: this daemon may open no more connections, which says
+  /// nothing of the server.
+  bool connections_exhausted = false;
   std::shared_ptr<const ServerAnswer> answer;
   std::string why;
   ServerNotice notice;
--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -157,7 +157,9 @@
   boost::asio::post(io_, [this, alive = std::weak_ptr<ByteBudget>(budget_),
                           number, done = std::move(done)] {
     if (alive.expired() || refused_.erase(number) == 0) return;
-    done(HttpFailure{HttpFailureKind::kRefused, "too many connections"}, {});
+    done(HttpFailure{HttpFailureKind::kRefused, "too many connections", false,
+                     true},
+         {});
   });
   return number;
 }
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -320,6 +320,7 @@
     const auto& failure = std::get<HttpFailure>(result);
     ended.why = failure.why;
     ended.no_listener = failure.no_listener;
+    ended.connections_exhausted = failure.connections_exhausted;
     switch (failure.kind) {
       case HttpFailureKind::kRefused:
       case HttpFailureKind::kConnectTimeout:
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -149,8 +149,9 @@
   void on_connected(error_code failed) {
     if (phase_ != Phase::kConnecting) return;
     if (failed) {
-      return fail(HttpFailureKind::kRefused, failed.message(),
-                  failed == asio::error::connection_refused);
+      return fail({HttpFailureKind::kRefused, failed.message(),
+                   failed == asio::error::connection_refused,
+                   failed == asio::error::no_descriptors});
     }
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
@@ -308,12 +309,16 @@
     if (done) done(std::move(response));
   }
 
-  void fail(HttpFailureKind kind, std::string why, bool no_listener = false) {
+  void fail(HttpFailureKind kind, std::string why) {
+    fail(HttpFailure{kind, std::move(why)});
+  }
+
+  void fail(HttpFailure failure) {
     HttpCallback done = std::move(done_);
     done_ = nullptr;
     matches_request_ = nullptr;
     close_socket();
-    if (done) done(HttpFailure{kind, std::move(why), no_listener});
+    if (done) done(std::move(failure));
   }
 
   tcp::socket socket_;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -32,6 +32,8 @@
   std::string why;
   /// With kRefused: no process listens on the port.
   bool no_listener = false;
+  /// With kRefused: this process may open no more connections.
+  bool connections_exhausted = false;
 };
 
 using HttpResult = std::variant<HttpResponse, HttpFailure>;
--- a/tests/backend_pool_test.cc
+++ b/tests/backend_pool_test.cc
@@ -349,6 +349,7 @@
   const auto* failure = std::get_if<HttpFailure>(&ended.back());
   ASSERT_NE(failure, nullptr);
   EXPECT_EQ(failure->kind, HttpFailureKind::kRefused);
+  EXPECT_TRUE(failure->connections_exhausted);
   EXPECT_EQ(pool.connections(), kMaxConnections);
 }
 
--- a/tests/fleet_requests_test.cc
+++ b/tests/fleet_requests_test.cc
@@ -131,6 +131,23 @@
   EXPECT_GT(answers_[0].retry_after, Duration(0));
 }
 
+// Guards against servers that are avoided because this daemon has no connection
+// left, and against sending in a tight loop.
+TEST_F(FleetRequests, OwnLackOfConnectionsDoesNotBlockTheServer) {
+  configure();
+  add("s1", kDesk);
+  request(1, "/safe/x");
+  AttemptEnded ended;
+  ended.id = sends_.back().id;
+  ended.result = AttemptResult::kNotSent;
+  ended.connections_exhausted = true;
+  apply(ended);
+  EXPECT_EQ(sends_.size(), 1u);
+  request(2, "/safe/x");
+  ASSERT_EQ(sends_.size(), 2u);
+  EXPECT_EQ(sends_[1].request, RequestId(2));
+}
+
 TEST_F(FleetRequests, UnknownRouteIs404AndTheLongestPrefixWins) {
   configure({route("/a/", kDesk, true), route("/a/b/", kBooking, true)});
   add("s1", kDesk);
