--- a/src/codec/store_update_json.cc
+++ b/src/codec/store_update_json.cc
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <boost/json.hpp>
 #include <stdexcept>
+#include <string_view>
 
 #include "codec/fleet_fields_p.h"
 #include "codec/fleet_json.h"
@@ -34,6 +36,8 @@
   return server;
 }
 
+constexpr std::string_view kUploadMark = "upload";
+
 json::array route_array(const fleet::Route& route) {
   json::array destinations;
   for (const fleet::Destination& destination : route.destinations) {
@@ -44,11 +48,14 @@
       route.name,           route.host,     route.prefix,
       route.repeatable,     route.priority, to_ms(route.objective),
       to_ms(route.timeout), route.attempts, std::move(destinations)};
-  if (route.allowed_regions.empty()) return parts;
-  json::array regions;
-  for (const RegionName& region : route.allowed_regions)
-    regions.emplace_back(region.str());
-  parts.emplace_back(std::move(regions));
+  // Absent from other routes, as earlier versions write them.
+  if (!route.allowed_regions.empty()) {
+    json::array regions;
+    for (const RegionName& region : route.allowed_regions)
+      regions.emplace_back(region.str());
+    parts.emplace_back(std::move(regions));
+  }
+  if (route.upload) parts.emplace_back(kUploadMark);
   return parts;
 }
 
@@ -68,10 +75,13 @@
         {ServiceName(view_of(destination.at(0))),
          destination.at(1).to_number<std::uint32_t>()});
   }
-  // Absent if any region is allowed.
-  if (parts.size() > 9) {
-    for (const json::value& region : parts.at(9).as_array())
-      route.allowed_regions.emplace_back(view_of(region));
+  for (std::size_t i = 9; i < parts.size(); ++i) {
+    if (parts[i].is_array()) {
+      for (const json::value& region : parts[i].as_array())
+        route.allowed_regions.emplace_back(view_of(region));
+    } else if (view_of(parts[i]) == kUploadMark) {
+      route.upload = true;
+    }
   }
   // Reading the store never yields such a route, so one received from a daemon
   // is invalid.
--- a/src/fleet/attempts.cc
+++ b/src/fleet/attempts.cc
@@ -111,7 +111,9 @@
 void on_not_sent(State& state, RequestState& request, const AttemptEnded& ended,
                  TimePoint now, Effects& effects) {
   auto server = state.servers.find(request.server);
-  if (server != state.servers.end()) {
+  if (ended.connections_exhausted) {
+    request.not_before = now + config::kOwnerRetryDelay;
+  } else if (server != state.servers.end()) {
     record_outcome(server->second, false, now);
     server->second.blocked_until = now + config::kConnectBackoff;
   }
@@ -145,7 +147,10 @@
   auto server = state.servers.find(request.server);
   if (server != state.servers.end() && server->second.in_flight > 0) {
     --server->second.in_flight;
+    server->second.body_bytes -=
+        std::min(server->second.body_bytes, request.body_bytes);
   }
+  state.upload_bytes -= std::min(state.upload_bytes, request.body_bytes);
   state.attempts.erase(request.attempt);
   state.fleet.load_changed = true;
 }
--- a/src/fleet/dispatch.cc
+++ b/src/fleet/dispatch.cc
@@ -1,8 +1,10 @@
 #include <algorithm>
 
 #include "fleet/admission.h"
+#include "fleet/body_room.h"
 #include "fleet/budget.h"
 #include "fleet/cold_servers.h"
+#include "fleet/config.h"
 #include "fleet/duration.h"
 #include "fleet/learning.h"
 #include "fleet/log_event.h"
@@ -26,7 +28,8 @@
   kBackoff,
   kLimit,
   kOwnerRegion,
-  kCold
+  kCold,
+  kLink
 };
 
 std::string_view reason_of(Unavailable why) {
@@ -45,6 +48,8 @@
       return "owner_region";
     case Unavailable::kCold:
       return "servers_cold";
+    case Unavailable::kLink:
+      return "link_full";
   }
   return "unknown";
 }
@@ -54,11 +59,24 @@
   return scaled(request.route->objective, config::kMaxWaitObjectiveShare);
 }
 
+/// Whether the server can hold the body of an upload beside those that it has.
+bool takes_body(const State& state, const ServerState& server,
+                const RequestState& request, std::uint32_t load) {
+  if (!request.route->upload) return true;
+  auto mean = state.mean_body_bytes.find(request.service);
+  return has_body_room(
+      {server.body_bytes, load - std::min(load, server.in_flight),
+       mean == state.mean_body_bytes.end() ? 0 : mean->second,
+       server.server.slots},
+      request.body_bytes);
+}
+
 /// The server as a candidate for the request, with the room that it finds
-/// there.
+/// there. Without room for its body, the queue counts as full.
 Candidate candidate_for(const State& state, const ServerState& server,
                         const RequestState& request, TimePoint now) {
   Candidate candidate = candidate_of(state, server, now);
+  bool has_body_space = takes_body(state, server, request, candidate.load);
   if (state.settings.admission_control) {
     set_queue_places(candidate, admission_request(state, request, now),
                      server.in_flight);
@@ -66,6 +84,11 @@
     candidate.load -=
         std::min(candidate.load, config::kRetryingCallerExtraQueue);
   }
+  if (!has_body_space) {
+    std::uint32_t places =
+        candidate.queue_places.value_or(config::kMaxServerQueue);
+    candidate.load = std::max(candidate.load, usable_slots(candidate) + places);
+  }
   return candidate;
 }
 
@@ -162,6 +185,11 @@
 std::variant<ServerName, Unavailable> choose_server(State& state,
                                                     RequestState& request,
                                                     TimePoint now) {
+  if (request.route->upload &&
+      !has_link_room(state.upload_bytes, request.body_bytes,
+                     request.route->objective)) {
+    return Unavailable::kLink;
+  }
   for (;;) {
     auto target = request.key ? owner_of(state, request, now)
                               : any_server(state, request, now);
@@ -191,6 +219,8 @@
   if (!request.key) request.tried_servers.push_back(name);
   ++server.in_flight;
   record_send_to_cold(state, server, now);
+  server.body_bytes += request.body_bytes;
+  state.upload_bytes += request.body_bytes;
   state.fleet.load_changed = true;
   state.attempts[request.attempt] = request.id;
   effects.emplace_back(SendAttempt{request.attempt, request.id, name, address,
@@ -313,7 +343,8 @@
     auto found = state.requests.find(id);
     if (found == state.requests.end()) continue;
     RequestState& request = found->second;
-    bool first_choice = !request.key && request.tried_servers.empty() &&
+    bool first_choice = !request.key && !request.route->upload &&
+                        request.tried_servers.empty() &&
                         !request.caller.retried;
     auto known = full.find(request.service);
     if (first_choice && known != full.end() &&
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -102,6 +102,7 @@
   std::optional<ShardKey> key;
   std::optional<Duration> deadline;  ///< Time from now that the caller allows.
   Fingerprint fingerprint;
+  std::size_t body_bytes = 0;
 };
 /// The caller has closed the connection of its request.
 struct CallerLeft {
@@ -140,6 +141,9 @@
   AttemptResult result = AttemptResult::kAnswerLost;
   int status = 0;
   bool no_listener = false;  ///< With kNotSent: the connection was refused.
+  /// With kNotSent: this daemon may open no more connections, which says
+  /// nothing of the server.
+  bool connections_exhausted = false;
   std::shared_ptr<const ServerAnswer> answer;
   std::string why;
   ServerNotice notice;
