--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -46,6 +46,17 @@
   EXPECT_EQ(settings.unknown_names, std::vector<std::string>{"some.new.field"});
 }
 
+// Guards against admission control where no deployment has asked for it.
+TEST(PlatformSettings, AdmissionControlIsOffUnlessSet) {
+  auto admission_control = [](const std::string& more) {
+    auto checked = read(std::string(kSettings) + more);
+    return std::get<DaemonSettings>(checked).fleet.admission_control;
+  };
+  EXPECT_FALSE(admission_control(""));
+  EXPECT_FALSE(admission_control("eelgrasspin.admissionControl=off\n"));
+  EXPECT_TRUE(admission_control("eelgrasspin.admissionControl=on\n"));
+}
+
 TEST(PlatformSettings, EvacuationsAreKnownOnlyWhereTheirTimeIsSet) {
   auto checked = read(std::string(kSettings) + "terms.bounds.evacuateS=5\n");
   ASSERT_TRUE(std::holds_alternative<DaemonSettings>(checked));
