Measure the event loop, orders to servers and the age of requests

The metrics could not tell what holds the loop of a coordinator up: neither its delay, nor the time by kind of event, nor the number of orders was counted, and log lines of a kind end at 100 a second.

Adds histograms of the loop's delay, of the time by kind of event and of the age of a request at its reading (TCP_INFO, where the system tells), counters of orders sent and ended by result, gauges of orders in flight and of the ranges looked at for them, and the line loop_delayed, which names the kind of event that took most of the time. No decision changes.

loop_stats_test, docs_test, platform_end_to_end_test, histogram_test and fleet_ownership_test pass.

--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -1,6 +1,7 @@
 #ifndef EELGRASSPIN_FLEET_EVENT_H_
 #define EELGRASSPIN_FLEET_EVENT_H_
 
+#include <string_view>
 #include <variant>
 
 #include "fleet/model.h"
@@ -184,6 +185,10 @@
     HeartbeatBatchReceived, MapChangeReceived, RequestReceived, CallerLeft,
     AttemptEnded, OrderEnded, Tick, StopOrdered, Resumed>;
 
+/// Names for logs and metrics.
+std::string_view event_name(const Event& event);
+std::string_view order_result_name(OrderResult result);
+
 }  // namespace eelgrasspin::fleet
 
 #endif  // EELGRASSPIN_FLEET_EVENT_H_
--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -346,6 +346,7 @@
       const KeyRange* next = find_range(*map.pending_write, range.first);
       if (next == nullptr || next->epoch != range.epoch) continue;
     }
+    ++state.ranges_visited;
     send_due_order(state, service, coordinator_role, range, lease->second, now,
                    effects);
   }
--- a/src/fleet/reduce.cc
+++ b/src/fleet/reduce.cc
@@ -150,4 +150,6 @@
 
 std::size_t open_requests(const State& state) { return state.requests.size(); }
 
+std::size_t orders_in_flight(const State& state) { return state.orders.size(); }
+
 }  // namespace eelgrasspin::fleet
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -368,6 +368,8 @@
   std::map<ServiceName, MapState> maps;
   std::map<std::uint64_t, Order> orders;
   std::uint64_t next_order = 1;
+  /// Key ranges that were looked at for orders that are due, in total.
+  std::uint64_t ranges_visited = 0;
   /// Servers with a `limit`, and those whose limit has just been dropped.
   std::set<ServerName> limited_servers;
   TimePoint limits_updated_at;
@@ -414,6 +416,8 @@
 bool is_ready(const State& state);
 /// Requests received and not yet answered.
 std::size_t open_requests(const State& state);
+/// Orders to servers that have not been answered yet.
+std::size_t orders_in_flight(const State& state);
 
 }  // namespace eelgrasspin::fleet
 
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -7,6 +7,7 @@
 
 #include "codec/fleet_json.h"
 #include "eelgrasspin/result.h"
+#include "fleet/log_event.h"
 #include "fleet/regions.h"
 #include "fleet/registry.h"
 #include "io/connection_limits.h"
@@ -44,6 +45,26 @@
                        std::chrono::nanoseconds(now.tv_nsec)));
 }
 
+std::string order_label(bool release) {
+  return release ? R"(order="release")" : R"(order="grant")";
+}
+
+std::vector<LabelledCounter> labelled_counters(
+    const std::map<std::string, std::uint64_t>& counts) {
+  std::vector<LabelledCounter> counters;
+  for (const auto& [labels, count] : counts)
+    counters.push_back({labels, count});
+  return counters;
+}
+
+std::vector<LabelledHistogram> event_time_histograms(const LoopStats& stats) {
+  std::vector<LabelledHistogram> histograms;
+  for (const auto& [kind, histogram] : stats.event_time) {
+    histograms.push_back({"event=\"" + std::string(kind) + "\"", &histogram});
+  }
+  return histograms;
+}
+
 /// For ports whose requests have no body.
 HttpServerOptions small_request_options() {
   HttpServerOptions options;
@@ -174,11 +195,12 @@
 }
 
 void FleetShell::apply(const fleet::Event& event) {
+  TimePoint began = boottime_now();
   fleet::Effects effects;
-  guard("event",
-        [&] { effects = fleet::reduce(state_, event, boottime_now()); });
+  guard("event", [&] { effects = fleet::reduce(state_, event, began); });
   for (const fleet::Effect& effect : effects)
     guard("effect", [&] { execute(effect); });
+  record_event(loop_stats_, fleet::event_name(event), boottime_now() - began);
 }
 
 void FleetShell::execute(const fleet::Effect& effect) {
@@ -229,12 +251,16 @@
             store_feed_.write_quarantine_record(e);
           },
           [this](const fleet::GrantKeys& e) {
-            key_orders_.grant(
-                e, [this](const fleet::OrderEnded& ended) { apply(ended); });
+            ++sent_order_counts_[order_label(false)];
+            key_orders_.grant(e, [this](const fleet::OrderEnded& ended) {
+              on_order_ended(false, ended);
+            });
           },
           [this](const fleet::ReleaseKeys& e) {
-            key_orders_.release(
-                e, [this](const fleet::OrderEnded& ended) { apply(ended); });
+            ++sent_order_counts_[order_label(true)];
+            key_orders_.release(e, [this](const fleet::OrderEnded& ended) {
+              on_order_ended(true, ended);
+            });
           },
           [this](const fleet::LogEvent& e) { on_log_event(e); },
       },
@@ -262,6 +288,7 @@
   }
   CallerRequestHead& request = value(read);
   RequestId id(next_request_id_++);
+  request_age_.record(exchange->request().age);
   std::size_t body_bytes = exchange->request().body.size();
   fleet::Fingerprint fingerprint = request_fingerprint(exchange->request());
   // Freed when the request has ended; the exchange lasts until the caller has
@@ -405,15 +432,21 @@
   for (const auto& [name, count] : event_counts_) {
     events.push_back({"event=\"" + name + "\"", count});
   }
-  std::vector<LabelledCounter> ends;
-  for (const auto& [labels, count] : request_end_counts_)
-    ends.push_back({labels, count});
   std::string text =
       print_counters("fleet_events_total", "Decisions and changes, by event",
                      events) +
       print_counters("fleet_requests_total",
                      "Callers' requests, by status and reason of their end",
-                     ends) +
+                     labelled_counters(request_end_counts_)) +
+      print_counters("fleet_orders_sent_total",
+                     "Grants and releases sent to backend servers",
+                     labelled_counters(sent_order_counts_)) +
+      print_counters("fleet_orders_ended_total",
+                     "Grants and releases that have ended, by result",
+                     labelled_counters(ended_order_counts_)) +
+      print_histograms("fleet_event_seconds",
+                       "Time that the event loop spends on events, by kind",
+                       event_time_histograms(loop_stats_)) +
       print_gauges({{"fleet_open_requests", "Requests without an answer yet",
                      static_cast<double>(open_requests_.size())},
                     {"fleet_backend_connections_made",
@@ -424,6 +457,12 @@
                     {"fleet_backend_connections",
                      "Connections to backend servers for requests",
                      static_cast<double>(backend_pool_.connections())},
+                    {"fleet_orders_in_flight",
+                     "Grants and releases without an answer yet",
+                     static_cast<double>(fleet::orders_in_flight(state_))},
+                    {"fleet_ranges_visited",
+                     "Key ranges looked at for orders that are due, in total",
+                     static_cast<double>(state_.ranges_visited)},
                     {"fleet_upload_bytes",
                      "Bodies of uploads that are at backend servers",
                      static_cast<double>(state_.upload_bytes)},
@@ -441,7 +480,13 @@
                      "Log lines left out because the reader was too slow",
                      static_cast<double>(log_lines_dropped())}}) +
       print_histograms(
-          {{"fleet_request_seconds",
+          {{"fleet_loop_delay_seconds",
+            "From the time at which a tick was due to its start",
+            &loop_stats_.delay},
+           {"fleet_request_age_seconds",
+            "From the arrival of a request at this machine to its reading",
+            &request_age_},
+           {"fleet_request_seconds",
             "From a caller's request to the end of its answer",
             &request_latency_},
            {"fleet_attempt_seconds",
@@ -462,6 +507,13 @@
   ++request_end_counts_[labels];
 }
 
+void FleetShell::on_order_ended(bool release, const fleet::OrderEnded& ended) {
+  ++ended_order_counts_[order_label(release) + ",result=\"" +
+                        std::string(fleet::order_result_name(ended.result)) +
+                        "\""];
+  apply(ended);
+}
+
 void FleetShell::on_log_event(const fleet::LogEvent& event) {
   count_event(event);
   if (!log_limiter_.allow(event.name, boottime_now())) return;
@@ -470,10 +522,29 @@
   log_line(LogLevel::kInfo, fields);
 }
 
+/// Called when a tick starts, before its timer is set anew.
+void FleetShell::record_loop_delay() {
+  auto delay = std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now() - tick_timer_.expiry());
+  auto interval = record_tick(loop_stats_, delay);
+  if (!interval) return;
+  on_log_event(
+      fleet::LogEvent{"loop_delayed",
+                      {{"delay", fleet::text(delay)},
+                       {"busy", fleet::text(interval->busy)},
+                       {"events", fleet::text(interval->events)},
+                       {"most", std::string(interval->main_kind)},
+                       {"most_busy", fleet::text(interval->main_kind_busy)},
+                       {"orders", fleet::text(fleet::orders_in_flight(state_))},
+                       {"open_requests", fleet::text(open_requests_.size())}}});
+}
+
 void FleetShell::tick() {
   tick_timer_.expires_after(fleet::config::kTickInterval);
   tick_timer_.async_wait([this](error_code failed) {
-    if (!failed) tick();
+    if (failed) return;
+    record_loop_delay();
+    tick();
   });
   detect_suspension();
   apply(fleet::Tick());
--- a/src/io/fleet_shell.h
+++ b/src/io/fleet_shell.h
@@ -17,6 +17,7 @@
 #include "io/histogram.h"
 #include "io/http_server.h"
 #include "io/log_rate_limiter.h"
+#include "io/loop_stats.h"
 #include "io/store_feed.h"
 
 namespace eelgrasspin::io {
@@ -73,6 +74,8 @@
   void on_metrics(const std::shared_ptr<HttpExchange>& exchange);
   void on_log_event(const fleet::LogEvent& event);
   void count_event(const fleet::LogEvent& event);
+  void on_order_ended(bool release, const fleet::OrderEnded& ended);
+  void record_loop_delay();
   void tick();
   void detect_suspension();
   void apply_caller_limits();
@@ -106,6 +109,11 @@
   LogRateLimiter log_limiter_;
   std::map<std::string, std::uint64_t> event_counts_;
   std::map<std::string, std::uint64_t> request_end_counts_;
+  /// Orders to servers by labels: those sent, and those that have ended.
+  std::map<std::string, std::uint64_t> sent_order_counts_;
+  std::map<std::string, std::uint64_t> ended_order_counts_;
+  LoopStats loop_stats_;
+  Histogram request_age_;
   Histogram request_latency_;
   Histogram attempt_latency_;
 };
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -1,5 +1,8 @@
 #include "io/http_server.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -8,6 +11,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cstddef>
 #include <deque>
 #include <new>
 #include <set>
@@ -180,6 +184,17 @@
          body_memory(response.body);
 }
 
+/// Time since the socket received its last bytes; 0 where the system does not
+/// tell.
+Duration input_age(tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  int failed =
+      ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  bool known = failed == 0 && size >= offsetof(tcp_info, tcpi_last_ack_recv);
+  return known ? milliseconds(info.tcpi_last_data_recv) : Duration(0);
+}
+
 bool is_descriptor_shortage(error_code failed) {
   return failed == asio::error::no_descriptors ||
          failed == boost::system::errc::too_many_files_open_in_system ||
@@ -563,6 +578,7 @@
     HttpRequest request = {
         std::string(message.method_string()), std::string(message.target()),
         fields_of(message.base()), std::move(message.body()), remote_};
+    request.age = input_age(socket_);
     receiving_ = false;
     if (!writing_) timer_.cancel();
     auto exchange = add(std::move(request), keep_alive, is_head_request);
--- a/src/io/http_types.h
+++ b/src/io/http_types.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "eelgrasspin/ids.h"
+#include "eelgrasspin/units.h"
 
 /// HTTP messages as plain data, and helpers for their fields.
 namespace eelgrasspin::io {
@@ -24,6 +25,9 @@
   Endpoint remote;  ///< Address of the sender; empty on the client side.
   /// Sent in place of `body` if set, without a copy.
   std::shared_ptr<const std::string> shared_body;
+  /// Time that its last bytes waited in the system until the server read them;
+  /// 0 where the system does not tell.
+  Duration age{0};
 };
 
 struct HttpResponse {
--- a/src/io/metrics.cc
+++ b/src/io/metrics.cc
@@ -22,18 +22,21 @@
   return static_cast<double>(duration.count()) / kMicrosecondsPerSecond;
 }
 
-void print_histogram(std::ostream& out, const NamedHistogram& named) {
-  print_header(out, named.name, named.help, "histogram");
+void print_histogram(std::ostream& out, std::string_view name,
+                     const std::string& labels, const Histogram& histogram) {
+  std::string before_limit = labels.empty() ? "" : labels + ",";
+  std::string braces = labels.empty() ? "" : "{" + labels + "}";
   for (int power = kMinBucketPower; power <= kMaxBucketPower; ++power) {
     Duration limit(std::int64_t{1} << power);
-    out << kPrefix << named.name << "_bucket{le=\"" << in_seconds(limit)
-        << "\"} " << named.histogram->count_below(limit) << '\n';
+    out << kPrefix << name << "_bucket{" << before_limit << "le=\""
+        << in_seconds(limit) << "\"} " << histogram.count_below(limit) << '\n';
   }
-  out << kPrefix << named.name << "_bucket{le=\"+Inf\"} "
-      << named.histogram->count() << '\n'
-      << kPrefix << named.name << "_sum " << in_seconds(named.histogram->sum())
-      << '\n'
-      << kPrefix << named.name << "_count " << named.histogram->count() << '\n';
+  out << kPrefix << name << "_bucket{" << before_limit << "le=\"+Inf\"} "
+      << histogram.count() << '\n'
+      << kPrefix << name << "_sum" << braces << ' '
+      << in_seconds(histogram.sum()) << '\n'
+      << kPrefix << name << "_count" << braces << ' ' << histogram.count()
+      << '\n';
 }
 
 }  // namespace
@@ -74,7 +77,19 @@
 
 std::string print_histograms(const std::vector<NamedHistogram>& histograms) {
   std::ostringstream out;
-  for (const NamedHistogram& named : histograms) print_histogram(out, named);
+  for (const NamedHistogram& named : histograms) {
+    print_header(out, named.name, named.help, "histogram");
+    print_histogram(out, named.name, {}, *named.histogram);
+  }
+  return out.str();
+}
+
+std::string print_histograms(std::string_view name, std::string_view help,
+                             const std::vector<LabelledHistogram>& histograms) {
+  std::ostringstream out;
+  print_header(out, name, help, "histogram");
+  for (const LabelledHistogram& labelled : histograms)
+    print_histogram(out, name, labelled.labels, *labelled.histogram);
   return out.str();
 }
 
--- a/src/io/metrics.h
+++ b/src/io/metrics.h
@@ -22,6 +22,12 @@
   const Histogram* histogram = nullptr;
 };
 
+/// One histogram of a family, identified by its labels.
+struct LabelledHistogram {
+  std::string labels;  ///< "key=\"value\",...", without the braces.
+  const Histogram* histogram = nullptr;
+};
+
 /// One counter of a family, identified by its labels.
 struct LabelledCounter {
   std::string labels;  ///< "key=\"value\",...", without the braces.
@@ -34,6 +40,9 @@
                            const std::vector<LabelledCounter>& counters);
 std::string print_gauges(const std::vector<Gauge>& gauges);
 std::string print_histograms(const std::vector<NamedHistogram>& histograms);
+/// One family of histograms.
+std::string print_histograms(std::string_view name, std::string_view help,
+                             const std::vector<LabelledHistogram>& histograms);
 
 /// Counters, gauges and histograms together.
 std::string print_metrics(const core::Counters& counters,
