Tests of what makes a busy coordinator work for callers that left

coordinator_load_test: the reducer of a coordinator on virtual time, 300 servers, 2,000 ranges, 80 silent servers, 60 busy keys a second that move. It counts the ranges that are looked at and the orders that are sent.

--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -34,6 +34,7 @@
   bool reachable = true;
   bool resets_connections = false;  ///< Cut off; connections are refused.
   bool readdressed = false;         ///< Ended; another service has its address.
+  bool silent = false;              ///< Accepts orders and answers none.
   struct Hold {
     TimePoint until;
     Epoch highest_epoch;
@@ -113,6 +114,9 @@
   std::function<void(std::size_t daemon, const AnswerCaller&)> on_refusal;
   /// Called when a daemon passes a server's answer on to the caller.
   std::function<void(std::size_t daemon, const RelayAnswer&)> on_answer;
+  /// Called when a daemon sends an order to a server.
+  std::function<void(const GrantKeys&)> on_grant;
+  std::function<void(const ReleaseKeys&)> on_release;
   /// Map writes that the store has carried out.
   std::size_t map_writes = 0;
   /// Heartbeats and batches sent so far, counted once per receiver.
@@ -235,6 +239,12 @@
   void after(Duration delay, std::function<void()> act) {
     scheduled_.insert({now_ + delay, ++order_, std::move(act)});
   }
+  /// Replaces the map in the store. Daemons that reach it read it at once.
+  void put_map(const OwnerMap& map) {
+    map_ = map;
+    revision_ = Version(revision_.value + 1);
+    each_daemon_with_store(MapSeen{*map_, revision_});
+  }
   /// Cuts all daemons off from the store.
   void stop_store() {
     store_up = false;
@@ -518,6 +528,7 @@
 
   void send_grant(std::size_t daemon, std::uint64_t incarnation,
                   const GrantKeys& order) {
+    if (on_grant) on_grant(order);
     FakeServer* server = server_at(order.address);
     auto unanswered = [this, daemon, incarnation, order] {
       post(daemon, incarnation,
@@ -529,7 +540,7 @@
              OrderEnded{order.order, OrderResult::kNotSent, "", "no path"});
       });
     }
-    if (server == nullptr || draw(faults.grant_lost)) {
+    if (server == nullptr || server->silent || draw(faults.grant_lost)) {
       return after(config::kGrantTimeout, unanswered);
     }
     std::size_t index = static_cast<std::size_t>(server - servers_.data());
@@ -567,6 +578,7 @@
 
   void send_release(std::size_t daemon, std::uint64_t incarnation,
                     const ReleaseKeys& order) {
+    if (on_release) on_release(order);
     FakeServer* server = server_at(order.address);
     if (server != nullptr && !reaches(daemon, *server)) {
       return after(milliseconds(500), [this, daemon, incarnation, order] {
@@ -574,7 +586,7 @@
              OrderEnded{order.order, OrderResult::kNotSent, "", "no path"});
       });
     }
-    if (server == nullptr || draw(faults.grant_lost)) {
+    if (server == nullptr || server->silent || draw(faults.grant_lost)) {
       return after(config::kReleaseTimeout, [this, daemon, incarnation, order] {
         post(daemon, incarnation,
              OrderEnded{order.order, OrderResult::kUnanswered, "", "silent"});
