Do not send requests whose callers have closed their connection

What callers saw: a request reached a server more than half a second after its caller had left (GONE), when the process read it late for any reason.

Cause: a request and the end of its connection wait in the same queue of the socket. The request was read and sent on first, and the end seen after; the same for requests that waited for a server or a connection meanwhile.

Now the server looks for the end of the connection (POLLRDHUP) once a request is complete, and drops it instead of handling it. FleetShell looks again before a request is sent that was read more than 10 ms ago, and once a new connection to a server has been made for it.

LateConnection fails without the second look (the request arrives).

--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -142,7 +142,8 @@
   busy.last_exchange = call.last_on_connection;
   busy_[number] = busy;
   busy.connection->exchange_checked(
-      call.request, call.timeout, std::move(call.matches_request),
+      call.request, call.timeout,
+      {std::move(call.matches_request), std::move(call.may_send)},
       [this, number, address = call.address,
        done = std::move(done)](HttpResult result) {
         ConnectionUse use = finish(number, address, result);
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -26,6 +26,8 @@
     bool on_new_connection = false;
     /// The connection is closed after this exchange.
     bool last_on_connection = false;
+    /// As in HttpExchangeChecks.
+    std::function<bool()> may_send;
   };
 
   /// What is known of the connection that a call used.
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -122,6 +122,14 @@
         fleet::LogEvent{"connection_closed",
                         {{"from", remote.str()}, {"why", std::string(why)}}});
   };
+  options.on_client_gone = [this](const HttpRequest& request) {
+    request_age_.record(request.age);
+    on_log_event(fleet::LogEvent{"request_end",
+                                 {{"id", format_.caller_request_id(request)},
+                                  {"status", "0"},
+                                  {"reason", "left_before_read"},
+                                  {"age", fleet::text(request.age)}}});
+  };
   options.make_refusal = [this](int status, const std::string& why,
                                 const HttpRequest& received) {
     std::string id = format_.caller_request_id(received);
@@ -310,8 +318,14 @@
 void FleetShell::send_attempt(const fleet::SendAttempt& attempt) {
   auto open = open_requests_.find(attempt.request);
   if (open == open_requests_.end()) return;
+  // The end of the caller's connection may be queued behind other input.
+  std::shared_ptr<HttpExchange> exchange = open->second.exchange;
+  if (!exchange->client_waits(steady_now())) {
+    if (open_requests_.erase(attempt.request) > 0)
+      apply(fleet::CallerLeft{attempt.request});
+    return;
+  }
   std::string caller_request_id = open->second.caller_request_id;
-  const std::shared_ptr<HttpExchange>& exchange = open->second.exchange;
   HttpRequest request =
       format_.make_server_request(exchange->request(), attempt);
   request.shared_body = open->second.body;
@@ -323,7 +337,9 @@
       [this, caller_request_id](const HttpResponse& response) {
         return format_.matches_request(caller_request_id, response);
       },
-      attempt.on_new_connection};
+      attempt.on_new_connection,
+      false,
+      [exchange] { return exchange->client_waits(steady_now()); }};
   TimePoint sent = boottime_now();
   attempt_calls_[attempt.id] = backend_pool_.start(
       std::move(call),
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -69,15 +69,14 @@
   }
 
   void exchange_checked(const HttpRequest& request, Duration timeout,
-                        HttpResponseCheck matches_request,
-                        HttpCallback done) override {
-    matches_request_ = std::move(matches_request);
+                        HttpExchangeChecks checks, HttpCallback done) override {
+    checks_ = std::move(checks);
     exchange(request, timeout, std::move(done));
   }
 
   void close() override {
     done_ = nullptr;
-    matches_request_ = nullptr;
+    checks_ = {};
     close_socket();
   }
 
@@ -155,10 +154,15 @@
     }
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    auto now = std::chrono::steady_clock::now();
+    if (auto may_send = std::exchange(checks_.may_send, nullptr)) {
+      if (!may_send()) {
+        return fail(HttpFailureKind::kConnectTimeout, "no longer wanted");
+      }
+    }
     // Set in advance, so that the end of the process resets it as well.
     set_reset_on_close(true);
-    start_timer(std::chrono::duration_cast<Duration>(
-        exchange_deadline_ - std::chrono::steady_clock::now()));
+    start_timer(std::chrono::duration_cast<Duration>(exchange_deadline_ - now));
     send();
   }
 
@@ -283,7 +287,7 @@
                                     std::string(field.value()));
     }
     response.body = std::move(message.body());
-    if (matches_request_ && !matches_request_(response)) {
+    if (checks_.matches_request && !checks_.matches_request(response)) {
       ++skipped_response_count_;
       if (!message.keep_alive()) {
         return fail(HttpFailureKind::kTruncated, "response to another request");
@@ -292,7 +296,7 @@
       new_parser();
       return buffer_.size() > 0 ? parse() : read_more();
     }
-    matches_request_ = nullptr;
+    checks_ = {};
     ++response_count_;
     last_response_time_ = steady_now();
     timer_.cancel();
@@ -316,7 +320,7 @@
   void fail(HttpFailure failure) {
     HttpCallback done = std::move(done_);
     done_ = nullptr;
-    matches_request_ = nullptr;
+    checks_ = {};
     close_socket();
     if (done) done(std::move(failure));
   }
@@ -329,7 +333,7 @@
   std::shared_ptr<const HttpRequest> request_;  ///< Until it is sent.
   std::optional<http::response_parser<http::string_body>> parser_;
   HttpCallback done_;
-  HttpResponseCheck matches_request_;
+  HttpExchangeChecks checks_;
   std::chrono::steady_clock::time_point exchange_deadline_;
   TimePoint last_response_time_;
   std::uint64_t response_count_ = 0;
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -41,6 +41,16 @@
 /// Whether a response belongs to the request that waits for one.
 using HttpResponseCheck = std::function<bool(const HttpResponse&)>;
 
+/// Conditions of an exchange; each may be empty.
+struct HttpExchangeChecks {
+  /// Responses for which it is false are skipped; the connection is then not
+  /// reused.
+  HttpResponseCheck matches_request;
+  /// Asked once a new connection has been made; if false, nothing is sent and
+  /// the exchange fails as kConnectTimeout. It may close the connection.
+  std::function<bool()> may_send;
+};
+
 /// One HTTP/1.1 connection with at most one exchange at a time. Not thread
 /// safe.
 class HttpConnection {
@@ -51,10 +61,9 @@
   /// once, unless close() is called first.
   virtual void exchange(const HttpRequest& request, Duration timeout,
                         HttpCallback done) = 0;
-  /// Like exchange(), but skips responses for which `matches_request` is false.
-  /// After a skipped response the connection is not reused.
+  /// Like exchange(), with further conditions.
   virtual void exchange_checked(const HttpRequest& request, Duration timeout,
-                                HttpResponseCheck matches_request,
+                                HttpExchangeChecks checks,
                                 HttpCallback done) = 0;
   /// Closes at once; no further callback is called.
   virtual void close() = 0;
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -1,6 +1,7 @@
 #include "io/http_server.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -61,6 +62,8 @@
 /// quarter for this time.
 constexpr Duration kDescriptorShortage = seconds(10);
 constexpr std::size_t kMinConnections = 4;
+/// A client is not looked for again within this time.
+constexpr Duration kClientCheckInterval = milliseconds(10);
 class Connection;
 }  // namespace
 
@@ -195,6 +198,14 @@
   return known ? milliseconds(info.tcpi_last_data_recv) : Duration(0);
 }
 
+/// Whether the peer has closed the connection, or its sending side, although
+/// there may be input of it that has not been read.
+bool peer_has_closed(tcp::socket& socket) {
+  pollfd state{socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&state, 1, 0) > 0 &&
+         (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 bool is_descriptor_shortage(error_code failed) {
   return failed == asio::error::no_descriptors ||
          failed == boost::system::errc::too_many_files_open_in_system ||
@@ -225,6 +236,7 @@
   }
   void send_raw_and_close(std::string bytes) override;
   void abort() override;
+  bool client_waits(TimePoint now) override;
 
   /// Records that the connection has ended. Returns the callback to run, if
   /// any.
@@ -311,6 +323,16 @@
     }
   }
 
+  /// Whether the client has not closed the connection; closes it if it has.
+  bool check_client(TimePoint now) {
+    if (closed_) return false;
+    if (now - client_checked_at_ < kClientCheckInterval) return true;
+    client_checked_at_ = now;
+    if (!peer_has_closed(socket_)) return true;
+    on_read_failed();
+    return false;
+  }
+
   /// Closes without running the on_abandoned callbacks.
   void abort() {
     notify_abandoned_ = false;
@@ -580,6 +602,8 @@
         fields_of(message.base()), std::move(message.body()), remote_};
     request.age = input_age(socket_);
     receiving_ = false;
+    client_checked_at_ = steady_now();
+    if (peer_has_closed(socket_)) return drop_request(request);
     if (!writing_) timer_.cancel();
     auto exchange = add(std::move(request), keep_alive, is_head_request);
     // The response to this request closes the connection; the client sends any
@@ -596,6 +620,13 @@
     read_more();
   }
 
+  void drop_request(const HttpRequest& request) {
+    if (server_->options.on_client_gone)
+      server_->options.on_client_gone(request);
+    start_parser();
+    on_read_failed();
+  }
+
   void refuse(int status, std::string why) {
     receiving_ = false;
     stop_parsing_ = true;
@@ -698,10 +729,11 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   ByteShare own_share_;
-  ByteShare received_share_;    ///< Of the request that is being received.
-  std::size_t head_bytes_ = 0;  ///< Memory of its header.
-  Progress progress_;           ///< Of receiving.
-  Progress write_progress_;     ///< Of sending the response.
+  ByteShare received_share_;     ///< Of the request that is being received.
+  std::size_t head_bytes_ = 0;   ///< Memory of its header.
+  TimePoint client_checked_at_;  ///< Last look for the client's close.
+  Progress progress_;            ///< Of receiving.
+  Progress write_progress_;      ///< Of sending the response.
   std::size_t discarded_bytes_ = 0;
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
@@ -741,6 +773,11 @@
   if (auto connection = connection_.lock()) connection->abort();
 }
 
+bool Exchange::client_waits(TimePoint now) {
+  auto connection = connection_.lock();
+  return connection && connection->check_client(now);
+}
+
 }  // namespace
 
 void HttpServer::Impl::accept() {
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -29,6 +29,10 @@
   virtual void send_raw_and_close(std::string bytes) = 0;
   /// Closes the connection without a response.
   virtual void abort() = 0;
+  /// Whether the client still waits, as far as the system knows at `now`. If it
+  /// has closed the connection, the callback of on_abandoned() runs before the
+  /// return.
+  virtual bool client_waits(TimePoint now) = 0;
 };
 
 struct HttpServerOptions {
@@ -53,6 +57,9 @@
   std::function<HttpResponse(int status, std::string why,
                              const HttpRequest& received)>
       make_refusal;
+  /// Called for a request whose client had closed the connection before it was
+  /// read. It is not handled.
+  std::function<void(const HttpRequest& request)> on_client_gone;
   /// Called for a connection that is closed to keep a limit.
   std::function<void(const Endpoint& remote, std::string_view why)>
       on_forced_close;
--- a/tests/backend_pool_test.cc
+++ b/tests/backend_pool_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
 #include <list>
@@ -307,6 +308,44 @@
 }
 
 /// A response that never ends fails, whichever part of it is endless.
+class LateConnection : public BackendPoolTest {
+ protected:
+  /// Starts a call that ends after 20 ms, and runs the loop only after its
+  /// connection has been made and its time has passed. Returns what the server
+  /// receives until the connection ends.
+  std::string received_by_server(Duration timeout,
+                                 std::function<bool()> may_send) {
+    tcp::acceptor acceptor(io_,
+                           {boost::asio::ip::make_address("127.0.0.1"), 0});
+    std::optional<HttpResult> result;
+    BackendPool::Call call{{"GET", "/", {{"Host", "h"}}, "", {}},
+                           io::to_endpoint(acceptor.local_endpoint()),
+                           timeout,
+                           true,
+                           nullptr};
+    call.may_send = std::move(may_send);
+    pool_.start(std::move(call),
+                [&](HttpResult ended, const BackendPool::ConnectionUse&) {
+                  result = std::move(ended);
+                });
+    tcp::socket peer = acceptor.accept();
+    std::this_thread::sleep_for(milliseconds(60));
+    EXPECT_TRUE(run_until(io_, [&] { return result.has_value(); }));
+    auto* failure = std::get_if<HttpFailure>(&*result);
+    EXPECT_TRUE(failure != nullptr &&
+                failure->kind == HttpFailureKind::kConnectTimeout);
+    std::array<char, 4096> buffer{};
+    boost::system::error_code ended;
+    std::size_t count =
+        boost::asio::read(peer, boost::asio::buffer(buffer), ended);
+    return {buffer.data(), count};
+  }
+};
+
+TEST_F(LateConnection, NothingIsSentThatIsNoLongerWanted) {
+  EXPECT_EQ(received_by_server(seconds(5), [] { return false; }), "");
+}
+
 TEST_F(BackendPoolTest, EndlessAnswersFail) {
   for (const EndlessCase& endless : kEndlessCases) {
     EndlessServer server(io_, endless.head, endless.part);
--- a/tests/pipeline_test.cc
+++ b/tests/pipeline_test.cc
@@ -206,7 +206,7 @@
   std::optional<HttpResult> result;
   auto connection = make_http_connection(io, server.endpoint());
   connection->exchange_checked({"GET", "/", {}, "", {}}, seconds(2),
-                               std::move(matches_request),
+                               {std::move(matches_request), nullptr},
                                [&](HttpResult ended) {
                                  result = std::move(ended);
                                  io.stop();
