Send nothing on a connection that is made after the end of its call

A late event loop finds a connection made and the time of its call over in one pass, and handles the connection first: the request or order was sent, with a timer that had expired. For orders this also sent a grant after the time that its coordinator counts on.

on_connected() compares the time itself; the call fails as not sent.

LateConnection.NothingIsSentAfterTheEndOfItsCall fails without the comparison (the server receives the request), and passes with it; backend_pool_test passes.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -154,7 +154,11 @@
     }
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    // The timer's handler may still be queued behind this one.
     auto now = std::chrono::steady_clock::now();
+    if (now >= exchange_deadline_) {
+      return fail(HttpFailureKind::kConnectTimeout, "connected too late");
+    }
     if (auto may_send = std::exchange(checks_.may_send, nullptr)) {
       if (!may_send()) {
         return fail(HttpFailureKind::kConnectTimeout, "no longer wanted");
--- a/tests/backend_pool_test.cc
+++ b/tests/backend_pool_test.cc
@@ -342,6 +342,10 @@
   }
 };
 
+TEST_F(LateConnection, NothingIsSentAfterTheEndOfItsCall) {
+  EXPECT_EQ(received_by_server(milliseconds(20), nullptr), "");
+}
+
 TEST_F(LateConnection, NothingIsSentThatIsNoLongerWanted) {
   EXPECT_EQ(received_by_server(seconds(5), [] { return false; }), "");
 }
