Count the time before a request is read towards its deadline

What callers saw: a request whose deadline had passed while it waited for the process was sent to a server all the same, with a new deadline.

And a request that waited for a server was sent on when room was made between the end of its time and the tick that would have ended it.

Now the age of a request when it is read (TCP_INFO, where the system tells) is taken off its time, and nothing is sent at or after the time at which a request is given up; it is refused with 503, as it has not run.

Two tests of the reducer without a network.

--- a/src/fleet/dispatch.cc
+++ b/src/fleet/dispatch.cc
@@ -308,6 +308,10 @@
 
 void dispatch(State& state, RequestState& request, TimePoint now,
               Effects& effects) {
+  if (now >= give_up_time(request)) {
+    request.phase = RequestPhase::kWaiting;
+    return expire(state, request, now, effects);
+  }
   if (is_quarantined(state, request.fingerprint, now)) {
     return refuse(state, request, "quarantined", now, effects);
   }
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -101,9 +101,12 @@
   std::string host;
   std::string path;  ///< Without the query.
   std::optional<ShardKey> key;
-  std::optional<Duration> deadline;  ///< Time from now that the caller allows.
+  /// Time from its arrival that the caller allows.
+  std::optional<Duration> deadline;
   Fingerprint fingerprint;
   std::size_t body_bytes = 0;
+  /// Time that it waited in the system before it was read, as far as known.
+  Duration age{0};
 };
 /// The caller has closed the connection of its request.
 struct CallerLeft {
--- a/src/fleet/requests.cc
+++ b/src/fleet/requests.cc
@@ -103,7 +103,7 @@
   if (route->upload) request.body_bytes = received.body_bytes;
   double& mean = state.mean_body_bytes[request.service];
   mean = next_mean_bytes(mean, request.body_bytes);
-  request.arrived_at = now;
+  request.arrived_at = now - received.age;
   if (received.deadline) {
     Duration& longest = state.deadlines[route->name];
     longest = std::max(longest, *received.deadline);
@@ -111,7 +111,7 @@
   }
   request.urgency = urgency_at(*state.configuration, *route, request.service);
   Duration allowed = received.deadline.value_or(config::kDefaultDeadline);
-  request.deadline = now + std::min(allowed, route->timeout);
+  request.deadline = request.arrived_at + std::min(allowed, route->timeout);
   if (state.stopping && request.deadline > stop_answer_time(state)) {
     // Another daemon can complete it.
     if (!route->repeatable) {
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -303,8 +303,9 @@
   // read the answer.
   auto body =
       std::make_shared<std::string>(std::move(exchange->request().body));
+  Duration age = exchange->request().age;
   open_requests_[id] = {exchange, std::move(body), request.caller_request_id,
-                        boottime_now()};
+                        boottime_now() - age};
   exchange->on_abandoned([this, id] {
     open_requests_.erase(id);
     apply(fleet::CallerLeft{id});
@@ -312,7 +313,7 @@
   apply(fleet::RequestReceived{id, std::move(request.caller_request_id),
                                std::move(request.host), std::move(request.path),
                                request.key, request.deadline, fingerprint,
-                               body_bytes});
+                               body_bytes, age});
 }
 
 void FleetShell::send_attempt(const fleet::SendAttempt& attempt) {
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -62,6 +62,8 @@
 /// quarter for this time.
 constexpr Duration kDescriptorShortage = seconds(10);
 constexpr std::size_t kMinConnections = 4;
+/// A higher age of input is taken for a mistake of the system.
+constexpr Duration kMaxInputAge = seconds(60);
 /// A client is not looked for again within this time.
 constexpr Duration kClientCheckInterval = milliseconds(10);
 class Connection;
@@ -194,8 +196,10 @@
   socklen_t size = sizeof(info);
   int failed =
       ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
-  bool known = failed == 0 && size >= offsetof(tcp_info, tcpi_last_ack_recv);
-  return known ? milliseconds(info.tcpi_last_data_recv) : Duration(0);
+  if (failed != 0 || size < offsetof(tcp_info, tcpi_last_ack_recv))
+    return Duration(0);
+  Duration age = milliseconds(info.tcpi_last_data_recv);
+  return age < kMaxInputAge ? age : Duration(0);
 }
 
 /// Whether the peer has closed the connection, or its sending side, although
--- a/tests/fleet_requests_test.cc
+++ b/tests/fleet_requests_test.cc
@@ -248,6 +248,41 @@
   EXPECT_EQ(state_.servers.at(ServerName("s1")).in_flight, 0u);
 }
 
+TEST_F(FleetRequests, RequestWhoseDeadlinePassedWhileItWaitedIsNotSent) {
+  configure();
+  add("s1", kDesk);
+  for (std::uint64_t id = 1; sends_.size() == id - 1; ++id)
+    request(id, "/safe/x");
+  std::size_t sent = sends_.size();
+  ASSERT_TRUE(answers_.empty());
+  request(100, "/safe/x", milliseconds(100));
+  // The tick that would end it is late; an answer makes room before.
+  now_ += milliseconds(120);
+  end(AttemptResult::kAnswered, 200);
+  EXPECT_EQ(sends_.size(), sent + 1);
+  EXPECT_NE(sends_.back().request, RequestId(100));
+  ASSERT_EQ(answers_.size(), 1u);
+  EXPECT_EQ(answers_[0].request, RequestId(100));
+  EXPECT_EQ(answers_[0].status, 503);
+}
+
+TEST_F(FleetRequests, TimeBeforeARequestIsReadCountsTowardsItsDeadline) {
+  configure();
+  add("s1", kDesk);
+  RequestReceived received{
+      RequestId(1),      "label",        "h", "/safe/x",        std::nullopt,
+      milliseconds(500), Fingerprint(1), 0,   milliseconds(200)};
+  apply(received);
+  ASSERT_EQ(sends_.size(), 1u);
+  EXPECT_EQ(sends_[0].time_left, milliseconds(300));
+  received.id = RequestId(2);
+  received.age = milliseconds(500);
+  apply(received);
+  EXPECT_EQ(sends_.size(), 1u);
+  ASSERT_EQ(answers_.size(), 1u);
+  EXPECT_EQ(answers_[0].status, 503);
+}
+
 TEST_F(FleetRequests, LeavingServerGetsNoNewWork) {
   configure();
   add("s1", kDesk);
