--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -17,6 +17,9 @@
 constexpr std::size_t kLargeFleet = 10;
 constexpr std::size_t kAtMostOnceCallersPerDaemon = 5;
 constexpr std::size_t kAtMostOnceCallersInLargeFleet = 2;
+/// One request in this many loses its caller within this time.
+constexpr std::uint32_t kLeaveInterval = 4;
+constexpr Duration kMaxTimeToLeave = milliseconds(800);
 /// One at-most-once request in this many has a body too large for one segment.
 constexpr std::uint64_t kLargeBodyInterval = 4;
 constexpr std::size_t kLargeBodyBytes = 100'000;
@@ -100,6 +103,7 @@
             std::uniform_int_distribution<std::uint32_t>(0, 65'535)(random_)));
   }
   fleet_.guarantees().request_sent(id, !at_most_once);
+  caller.open_id = id;
   caller.connection->exchange(
       request, kRequestDeadline + seconds(1),
       [this, &caller, id, expected_body = "body of " + id + " " + body,
@@ -107,6 +111,23 @@
        sent = io::steady_now()](const io::HttpResult& result) {
         request_ended(caller, id, expected_body, incarnation, sent, result);
       });
+  schedule_leave(caller, id);
+}
+
+void Callers::schedule_leave(Caller& caller, const std::string& id) {
+  if (random_() % kLeaveInterval != 0) return;
+  caller.leave_timer.expires_after(
+      Duration(std::uniform_int_distribution<Duration::rep>(
+          0, kMaxTimeToLeave.count())(random_)));
+  caller.leave_timer.async_wait(
+      [this, &caller, id](boost::system::error_code failed) {
+        if (failed || !caller.connection || caller.open_id != id) return;
+        fleet_.guarantees().caller_left(id, io::steady_now());
+        caller.open_id.clear();
+        caller.connection->close();
+        caller.connection.reset();
+        schedule_request(caller, kRequestDelay);
+      });
 }
 
 void Callers::request_ended(Caller& caller, const std::string& id,
@@ -114,6 +135,7 @@
                             std::uint64_t incarnation, TimePoint sent,
                             const io::HttpResult& result) {
   const Daemon& daemon = caller.daemon;
+  caller.open_id.clear();
   if (const auto* answer = std::get_if<io::HttpResponse>(&result)) {
     const std::string* stamp =
         io::find_header(answer->headers, platform::kResponseStampHeader);
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -31,16 +31,20 @@
  private:
   struct Caller {
     Caller(boost::asio::io_context& io, Daemon& target, Kind request_kind)
-        : daemon(target), kind(request_kind), timer(io) {}
+        : daemon(target), kind(request_kind), timer(io), leave_timer(io) {}
     Daemon& daemon;
     Kind kind;
     boost::asio::steady_timer timer;
+    boost::asio::steady_timer leave_timer;
     std::shared_ptr<io::HttpConnection> connection;
+    std::string open_id;  ///< Of the request without an answer; or empty.
     std::size_t served = 0;
   };
 
   void schedule_request(Caller& caller, Duration delay);
   void send_request(Caller& caller);
+  /// Lets some callers close their connection before the answer.
+  void schedule_leave(Caller& caller, const std::string& id);
   void request_ended(Caller& caller, const std::string& id,
                      const std::string& expected_body,
                      std::uint64_t incarnation, TimePoint sent,
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -154,7 +154,7 @@
       holders.push_back(other.server->name());
     }
   }
-  guarantees_.execution_started(run.id, run.server, holders);
+  guarantees_.execution_started(run.id, run.server, holders, run.at);
   if (backend.draining_since) {
     guarantees_.execution_started_while_draining(
         run.id, run.server, run.at - *backend.draining_since,
--- a/tests/soak/guarantee_checker.cc
+++ b/tests/soak/guarantee_checker.cc
@@ -10,6 +10,10 @@
 /// on a busy machine.
 constexpr Duration kPropagationLimit = milliseconds(2300);
 constexpr std::size_t kMaxReported = 20;
+/// A request must not reach a server later than this after its caller has left,
+/// save for a few that were on their way.
+constexpr Duration kMaxTimeAfterLeaving = milliseconds(500);
+constexpr std::size_t kMaxLateExecutions = 3;
 
 bool status_means_not_run(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -29,12 +33,20 @@
   requests_[id].repeatable = repeatable;
 }
 
+void GuaranteeChecker::caller_left(const std::string& id, TimePoint at) {
+  requests_[id].left_at = at;
+}
+
 void GuaranteeChecker::execution_started(
     const std::string& id, const std::string& server,
-    const std::vector<std::string>& holders) {
+    const std::vector<std::string>& holders, TimePoint at) {
   auto found = requests_.find(id);
   if (found == requests_.end()) return add_violation("unasked: " + id);
   found->second.executing_servers.push_back(server);
+  const auto& left_at = found->second.left_at;
+  if (left_at && at - *left_at > kMaxTimeAfterLeaving) {
+    late_executions_.push_back(id + " after " + format_ms(at - *left_at));
+  }
   for (const std::string& holder : holders) {
     if (holder == server) continue;
     std::string what = "two owners: " + id;
@@ -107,6 +119,11 @@
 }
 
 void GuaranteeChecker::finish() {
+  if (late_executions_.size() > kMaxLateExecutions) {
+    add_violation("gone: " + std::to_string(late_executions_.size()) +
+                  " requests ran after their callers had left, first " +
+                  late_executions_.front());
+  }
   for (const auto& [id, request] : requests_) {
     if (request.repeatable) continue;
     if (request.executing_servers.size() > 1) add_violation("twice: " + id);
--- a/tests/soak/guarantee_checker.h
+++ b/tests/soak/guarantee_checker.h
@@ -17,10 +17,12 @@
  public:
   /// A caller sends a request. One that is not repeatable runs at most once.
   void request_sent(const std::string& id, bool repeatable);
-  /// A server starts to execute a request. `holders` are all servers that hold
-  /// its key.
+  /// The caller closes its connection without waiting for the answer.
+  void caller_left(const std::string& id, TimePoint at);
+  /// A server starts to execute a request at `at`. `holders` are all servers
+  /// that hold its key.
   void execution_started(const std::string& id, const std::string& server,
-                         const std::vector<std::string>& holders);
+                         const std::vector<std::string>& holders, TimePoint at);
   /// A server receives a grant of a key of which another server has received a
   /// grant at `other_epoch`.
   void grant_received(const std::string& server, std::uint64_t epoch,
@@ -59,6 +61,7 @@
     bool repeatable = true;
     std::vector<std::string> executing_servers;
     int status = 0;
+    std::optional<TimePoint> left_at;
     bool lost_in_graceful_stop = false;
   };
   void add_violation(std::string what);
@@ -66,6 +69,7 @@
   std::map<std::string, Request> requests_;
   std::map<std::string, std::uint64_t> latest_versions_;
   std::vector<std::string> violations_;
+  std::vector<std::string> late_executions_;  ///< After their callers left.
   std::size_t served_ = 0;
 };
 
