--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -52,6 +52,7 @@
 std::vector<LabelledCounter> labelled_counters(
     const std::map<std::string, std::uint64_t>& counts) {
   std::vector<LabelledCounter> counters;
+  counters.reserve(counts.size());
   for (const auto& [labels, count] : counts)
     counters.push_back({labels, count});
   return counters;
@@ -59,6 +60,7 @@
 
 std::vector<LabelledHistogram> event_time_histograms(const LoopStats& stats) {
   std::vector<LabelledHistogram> histograms;
+  histograms.reserve(stats.event_time.size());
   for (const auto& [kind, histogram] : stats.event_time) {
     histograms.push_back({"event=\"" + std::string(kind) + "\"", &histogram});
   }
--- a/tests/left_callers_test.cc
+++ b/tests/left_callers_test.cc
@@ -1,3 +1,5 @@
+#include <sstream>
+
 #include "io/http_client.h"
 #include "tests/io_test_util.h"
 #include "tests/platform_processes.h"
@@ -31,11 +33,13 @@
   }
 
   static std::string text_of(const io::HttpRequest& request) {
-    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    std::ostringstream text;
+    text << request.method << ' ' << request.target << " HTTP/1.1\r\n";
     for (const auto& [name, value] : request.headers)
-      text += name + ": " + value + "\r\n";
-    return text + "Content-Length: " + std::to_string(request.body.size()) +
-           "\r\n\r\n" + request.body;
+      text << name << ": " << value << "\r\n";
+    text << "Content-Length: " << request.body.size() << "\r\n\r\n"
+         << request.body;
+    return text.str();
   }
 
   /// A keyed or an unkeyed request, in turn.
