--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -169,9 +169,8 @@
                      });
 }
 
-/// When the last grant to the holder for these keys expires; in the past if all
-/// have. Those to its earlier incarnations count, as they may have reached this
-/// one.
+/// When the last grant to the holder for these keys expires; `now` if all have.
+/// Those to its earlier incarnations count, as they may have reached this one.
 TimePoint grants_end(const State& state,
                      const CoordinatorRole& coordinator_role,
                      const KeyRange& range, const ServerIncarnation& holder,
