--- a/tests/coordinator_load_test.cc
+++ b/tests/coordinator_load_test.cc
@@ -185,7 +185,7 @@
   }
 }
 
-TEST_F(CoordinatorLoad, ReleasesThatTakeLongDoNotHoldUpRenewals) {
+TEST_F(CoordinatorLoad, LostAnswersDoNotMakeAServerSilent) {
   start(kRanges);
   // Servers that leave a grant in five unanswered, now and then several in a
   // row.
