--- a/review/case_kit.hpp
+++ b/review/case_kit.hpp
@@ -350,10 +350,14 @@
 
 class Server {
  public:
-  Server(asio::io_context& io, std::string name, std::string service)
+  /// A server without keys runs every request; each takes `work` seconds.
+  Server(asio::io_context& io, std::string name, std::string service,
+         bool keyed = true, double work = 0.03)
       : io_(io),
         name_(std::move(name)),
         service_(std::move(service)),
+        keyed_(keyed),
+        work_(work),
         acceptor_(listen(io, "127.0.0.1")) {
     asio::co_spawn(io_,
                    accept_all(acceptor_,
@@ -377,6 +381,16 @@
          json::object{{"state", state}, {"seq", 1}, {"coldLeftS", 0}}}};
   }
 
+  /// From now on its answers say that it is leaving.
+  void leave() { leaving_ = true; }
+  bool leaving() const { return leaving_; }
+  /// Accepts no more connections and closes those that it has.
+  void end() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    for (tcp::socket* socket : sockets_) socket->close(ignored);
+  }
+
   /// Called for each grant that is accepted and for each release.
   std::function<void(const std::string& server, KeySpan, std::uint64_t fence,
                      std::optional<double> hold)>
@@ -421,26 +435,32 @@
   }
 
   awaitable<Response> run(const Request& request) {
-    constexpr double kWorkTime = 0.03;
     std::string id(request["X-Eelgrasspin-Request-Id"]);
     std::string key_text(request["X-Eelgrasspin-Shard-Key"]);
     auto key =
         static_cast<std::uint32_t>(std::strtoul(key_text.c_str(), nullptr, 10));
     Response response;
-    if (!holds(key)) {
+    if (keyed_ && !holds(key)) {
       response = make_response(421);
       response.set("X-Eelgrasspin-Not-Run", "1");
     } else {
       if (on_run) on_run(name_, id, key);
-      co_await sleep_for(kWorkTime);
+      co_await sleep_for(work_);
       response = make_response(200, name_);
       response.set("X-Eelgrasspin-Response-Stamp", "s." + id);
     }
     response.set("X-Eelgrasspin-Request-Id", id);
+    if (leaving_) response.set("Server-Leaving", "1");
     co_return response;
   }
 
   awaitable<void> serve(tcp::socket socket) {
+    sockets_.insert(&socket);
+    co_await serve_requests(socket);
+    sockets_.erase(&socket);
+  }
+
+  awaitable<void> serve_requests(tcp::socket& socket) {
     beast::flat_buffer buffer;
     boost::system::error_code failed;
     for (;;) {
@@ -473,6 +493,10 @@
   asio::io_context& io_;
   std::string name_;
   std::string service_;
+  bool keyed_;
+  double work_;
+  bool leaving_ = false;
+  std::set<tcp::socket*> sockets_;
   tcp::acceptor acceptor_;
   std::int64_t born_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                            std::chrono::system_clock::now().time_since_epoch())
@@ -597,11 +621,13 @@
 // Callers.
 
 /// One request on a connection of its own. Status 0: no answer.
-inline awaitable<std::pair<int, std::string>> call(tcp::endpoint to,
-                                                   Request request) {
+inline awaitable<std::pair<int, std::string>> call(
+    tcp::endpoint to, Request request, int timeout_s = 3,
+    std::optional<double> leaves_after = {}) {
   auto executor = co_await asio::this_coro::executor;
   beast::tcp_stream stream(executor);
-  stream.expires_after(std::chrono::seconds(3));
+  stream.expires_after(std::chrono::milliseconds(
+      static_cast<std::int64_t>(leaves_after.value_or(timeout_s) * 1e3)));
   boost::system::error_code failed;
   co_await stream.async_connect(to,
                                 asio::redirect_error(use_awaitable, failed));
