--- a/review/case_kit.hpp
+++ b/review/case_kit.hpp
@@ -621,13 +621,12 @@
 // Callers.
 
 /// One request on a connection of its own. Status 0: no answer.
-inline awaitable<std::pair<int, std::string>> call(
-    tcp::endpoint to, Request request, int timeout_s = 3,
-    std::optional<double> leaves_after = {}) {
+inline awaitable<std::pair<int, std::string>> call(tcp::endpoint to,
+                                                   Request request,
+                                                   int timeout_s = 3) {
   auto executor = co_await asio::this_coro::executor;
   beast::tcp_stream stream(executor);
-  stream.expires_after(std::chrono::milliseconds(
-      static_cast<std::int64_t>(leaves_after.value_or(timeout_s) * 1e3)));
+  stream.expires_after(std::chrono::seconds(timeout_s));
   boost::system::error_code failed;
   co_await stream.async_connect(to,
                                 asio::redirect_error(use_awaitable, failed));
