Reproduce CONFIG and OWNER after a restoration of the store

What callers saw: 404 on a confirmed route, requests at a server that had gone, and two servers with the same keys.

The stand-in of the store and the simulated one can now go back to a copy: they give revisions out again, answer 410 to a watch from one that they do not have, and state an era that rises.

--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -256,6 +256,20 @@
     store_up = true;
     for (std::size_t i = 0; i < daemons_.size(); ++i) deliver_view(i);
   }
+  /// Keeps a copy of the store's records for restore_copy().
+  void take_copy() {
+    copy_ = {map_, revision_, quarantine_record_, quarantine_recorded_at_,
+             quarantine_revision_};
+  }
+  /// The store loses all records since take_copy(), and gives their revisions
+  /// out again.
+  void restore_copy() {
+    map_ = copy_.map;
+    revision_ = copy_.revision;
+    quarantine_record_ = copy_.quarantine_record;
+    quarantine_recorded_at_ = copy_.quarantine_recorded_at;
+    quarantine_revision_ = copy_.quarantine_revision;
+  }
   /// The registry drops the entry of a server that has ended.
   void unlist_server(std::size_t index) {
     each_daemon_with_store(ServerRemoved{servers_[index].entry.name});
@@ -302,6 +316,15 @@
     }
   };
 
+  /// What the store keeps of this system's records.
+  struct StoreCopy {
+    std::optional<OwnerMap> map;
+    Version revision;
+    std::vector<Strike> quarantine_record;
+    TimePoint quarantine_recorded_at;
+    Version quarantine_revision;
+  };
+
   bool draw(double share) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < share;
   }
@@ -665,6 +688,7 @@
   std::vector<Strike> quarantine_record_;
   TimePoint quarantine_recorded_at_;
   Version quarantine_revision_;
+  StoreCopy copy_;
   std::multiset<ScheduledAction> scheduled_;
   std::uint64_t order_ = 0;
   std::uint64_t incarnations_ = 0;
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -49,6 +49,27 @@
   bool endless = false;
   /// Writes are carried out, but their answers are lost.
   bool loses_answers = false;
+  /// Stated in all answers; empty: by a store that counts no eras.
+  std::optional<std::uint64_t> era = 1;
+
+  /// Keeps a copy of the current contents and revision for restore_copy().
+  void take_copy() { copy_ = Copy{kinds_, revision_}; }
+  /// Loses everything since take_copy(): revisions go back, and watches that
+  /// are waiting are cut off.
+  void restore_copy() {
+    kinds_ = copy_.kinds;
+    revision_ = copy_.revision;
+    std::erase_if(history_, [this](const Change& change) {
+      return change.revision > revision_;
+    });
+    for (PendingWatch& pending : pending_watches_) {
+      pending.wait_timer->cancel();
+      pending.exchange->abort();
+    }
+    pending_watches_.clear();
+    if (era) ++*era;
+  }
+  std::uint64_t revision() const { return revision_; }
 
   void put(const std::string& kind, const std::string& name,
            const std::string& spec) {
@@ -83,6 +104,11 @@
     json::object object;
     bool deleted;
   };
+  using Objects = std::map<std::string, std::map<std::string, json::object>>;
+  struct Copy {
+    Objects kinds;
+    std::uint64_t revision = 0;
+  };
   struct PendingWatch {
     std::shared_ptr<io::HttpExchange> exchange;
     std::string kind;
@@ -111,8 +137,9 @@
         text.replace(at, mark.size(), spec);
       }
     }
-    exchange.answer(
-        {status, {{"Content-Type", "application/json"}}, std::move(text)});
+    io::HeaderFields headers = {{"Content-Type", "application/json"}};
+    if (era) headers.emplace_back(kStoreEraHeader, std::to_string(*era));
+    exchange.answer({status, std::move(headers), std::move(text)});
   }
 
   void handle_request(const std::shared_ptr<io::HttpExchange>& exchange) {
@@ -197,6 +224,7 @@
 
   void watch(const std::shared_ptr<io::HttpExchange>& exchange,
              const std::string& kind, std::uint64_t since) {
+    if (since > revision_) return answer(*exchange, 410, json::object{});
     auto wait_timer = std::make_shared<boost::asio::steady_timer>(io_);
     pending_watches_.push_back({exchange, kind, since, wait_timer});
     wait_timer->expires_after(std::chrono::seconds(1));
@@ -234,7 +262,8 @@
   }
 
   boost::asio::io_context& io_;
-  std::map<std::string, std::map<std::string, json::object>> kinds_;
+  Objects kinds_;
+  Copy copy_;
   std::map<std::string, std::string> raw_specs_;  ///< By their placeholder.
   std::vector<Change> history_;
   std::vector<PendingWatch> pending_watches_;
--- /dev/null
+++ b/tests/store_restored_ownership_test.cc
@@ -0,0 +1,83 @@
+#include <gtest/gtest.h>
+
+#include "tests/fleet_world.h"
+
+/// Ownership of keys while the store comes back from an older copy.
+namespace eelgrasspin::fleet {
+namespace {
+
+constexpr Duration kSettlingTime = seconds(4);
+constexpr Duration kCopyAge = seconds(3);
+/// Longer than any grant, from any coordinator, may last.
+constexpr Duration kRecoveryTime = seconds(40);
+
+/// Keys move to other servers after the store's copy was taken. The copy lists
+/// their former owner as ready.
+void move_keys_after_copy(FleetWorld& world) {
+  world.run_for(kSettlingTime);
+  world.take_copy();
+  world.drain_server(1);
+  world.run_for(kCopyAge);
+  world.servers()[1].entry.draining = false;
+}
+
+/// The store refuses calls, loses its records, and is back.
+void restore(FleetWorld& world) {
+  world.run_for(milliseconds(400));
+  world.restore_copy();
+  world.run_for(milliseconds(600));
+  world.restore_store();
+}
+
+// Guards against a coordinator that knows only the copy.
+TEST(StoreRestoredOwnership, RestartedCoordinatorGrantsNoKeysThatAreHeld) {
+  FleetWorld world(3, 4, 1);
+  move_keys_after_copy(world);
+  auto coordinator = world.coordinator();
+  ASSERT_TRUE(coordinator);
+  world.stop_store();
+  world.kill(*coordinator);
+  world.start(*coordinator);
+  restore(world);
+  world.run_for(kRecoveryTime);
+  EXPECT_TRUE(world.violations.empty())
+      << world.violations.size() << ", " << world.violations.front();
+  EXPECT_TRUE(world.all_held());
+}
+
+TEST(StoreRestoredOwnership, RestartedFleetGrantsNoKeysThatAreHeld) {
+  FleetWorld world(3, 4, 2);
+  move_keys_after_copy(world);
+  world.stop_store();
+  for (std::size_t i = 0; i < world.daemons(); ++i) {
+    world.kill(i);
+    world.start(i);
+  }
+  restore(world);
+  world.run_for(kRecoveryTime);
+  EXPECT_TRUE(world.violations.empty())
+      << world.violations.size() << ", " << world.violations.front();
+  EXPECT_TRUE(world.all_held());
+}
+
+// Guards against keys that are without an owner although their coordinator
+// knows all grants.
+TEST(StoreRestoredOwnership, RunningCoordinatorKeepsAllKeysHeld) {
+  FleetWorld world(3, 4, 3);
+  move_keys_after_copy(world);
+  OwnerMap before = *world.stored_map();
+  world.stop_store();
+  restore(world);
+  world.run_for(seconds(2));
+  ASSERT_TRUE(world.stored_map());
+  EXPECT_EQ(world.stored_map()->ranges, before.ranges);
+  EXPECT_GT(world.stored_map()->term, before.term);
+  for (int i = 0; i < 80; ++i) {
+    world.run_for(milliseconds(100));
+    EXPECT_TRUE(world.all_held()) << "after " << i * 100 << " ms";
+  }
+  EXPECT_TRUE(world.violations.empty());
+}
+
+}  // namespace
+}  // namespace eelgrasspin::fleet
--- /dev/null
+++ b/tests/store_restored_test.cc
@@ -0,0 +1,131 @@
+#include "tests/platform_processes.h"
+
+/// The real program beside a store that comes back from an older copy.
+namespace eelgrasspin::platform {
+namespace {
+
+/// Changes that the store loses.
+constexpr int kLostChanges = 64;
+/// Time in which a confirmed change has to be in force.
+constexpr Duration kChangeTime = seconds(4);
+/// Time in which the daemons' watches end and tell them the latest revision.
+constexpr Duration kWatchTime = milliseconds(2500);
+
+class StoreRestored : public PlatformProcesses {
+ protected:
+  /// Makes changes that concern no daemon.
+  void change_store(int count) {
+    for (int i = 0; i < count; ++i) store_.put("notes", "note", "{}");
+  }
+  void wait(Duration duration) {
+    run_until([] { return false; }, duration);
+  }
+  /// The operator and the servers write their objects again, as they do after
+  /// a restoration.
+  void write_again() {
+    store_.put(kConfigKind, kActiveConfigName, kConfiguration);
+    for (const auto& board : boards_) list(*board, "board");
+    for (const auto& book : books_) list(*book, "book");
+  }
+  /// Restores a copy that lacks kLostChanges changes. The store refuses calls
+  /// before and after, and has made `changes` changes when it is back.
+  void restore(int changes) {
+    store_.take_copy();
+    change_store(kLostChanges);
+    wait(kWatchTime);
+    store_.down = true;
+    wait(milliseconds(400));
+    store_.restore_copy();
+    write_again();
+    add_route("/early/");
+    change_store(changes);
+    wait(milliseconds(600));
+    store_.down = false;
+  }
+  void add_route(const std::string& prefix) {
+    json::object added = json::parse(kConfiguration).as_object();
+    added["version"] = ++version_;
+    json::array& rules =
+        added["listeners"].as_array()[0].as_object()["rules"].as_array();
+    json::object rule = rules[1].as_object();
+    rule["name"] = prefix;
+    rule["kind"] = "safe";
+    rule["match"] = json::object{{"prefix", prefix}};
+    rules.push_back(rule);
+    store_.put(kConfigKind, kActiveConfigName, json::serialize(added));
+  }
+  int status_of(const Process& process, const std::string& path) {
+    return status(callers(process),
+                  {"GET",
+                   path,
+                   {{"Host", "h"},
+                    {kRequestIdHeader, "r" + std::to_string(++requests_)},
+                    {kDeadlineMsHeader, "2000"}},
+                   "",
+                   {}});
+  }
+  /// Starts two daemons and waits until they serve all keys.
+  void start_fleet(int first_number) {
+    // processes_ must not grow while its elements are referred to.
+    processes_.reserve(8);
+    for (int i = 0; i < 2; ++i) {
+      Process& process = start(first_number + i);
+      ASSERT_TRUE(become_ready(process));
+    }
+    ASSERT_TRUE(run_until(
+        [&] { return all_keys_served(callers(processes_[0]), "start"); }));
+    wait(seconds(1));
+  }
+  void expect_changes_in_force() {
+    wait(kChangeTime);
+    for (const Process& process : processes_)
+      EXPECT_EQ(status_of(process, "/early/x"), 200) << process.ip;
+    add_route("/n/");
+    store_.remove(kServersKind, boards_[0]->name());
+    wait(kChangeTime);
+    std::size_t ran = boards_[0]->ran.size();
+    for (const Process& process : processes_) {
+      EXPECT_EQ(status_of(process, "/n/x"), 200) << process.ip;
+      EXPECT_TRUE(run_until(
+          [&] { return all_keys_served(callers(process), process.ip); },
+          seconds(6)))
+          << process.ip;
+    }
+    EXPECT_EQ(boards_[0]->ran.size(), ran) << "requests at a removed server";
+  }
+
+  int version_ = 100;
+  int requests_ = 0;
+};
+
+// Guards against a watch that continues in another history of the store.
+TEST_F(StoreRestored, ChangesAreInForceWhenRevisionsHavePassedTheOldOnes) {
+  start_fleet(31);
+  restore(kLostChanges + 20);
+  expect_changes_in_force();
+}
+
+// Guards against changes that are dropped as older than lost ones.
+TEST_F(StoreRestored, ChangesAreInForceWhileRevisionsStayBelowTheOldOnes) {
+  start_fleet(33);
+  restore(0);
+  expect_changes_in_force();
+}
+
+TEST_F(StoreRestored, ChangesAreInForceAfterTwoRestorations) {
+  start_fleet(35);
+  restore(0);
+  wait(seconds(1));
+  restore(kLostChanges + 20);
+  expect_changes_in_force();
+}
+
+TEST_F(StoreRestored, StoreThatStatesNoEraIsServedAsBefore) {
+  store_.era.reset();
+  start_fleet(37);
+  add_route("/early/");
+  expect_changes_in_force();
+}
+
+}  // namespace
+}  // namespace eelgrasspin::platform
