--- a/bench/fleet_bench.cc
+++ b/bench/fleet_bench.cc
@@ -61,7 +61,7 @@
     route.destinations = {{service_, 1}};
     configuration->routes = {route};
     ServersListed listed;
-    listed.as_of = Version(1);
+    listed.as_of = {StoreEra(), Version(1)};
     for (std::size_t i = 0; i < daemons * kServersPerTenDaemons / 10; ++i) {
       std::string number = std::to_string(1'000'000'000 + i * 7919);
       listed.servers.push_back(
@@ -72,8 +72,8 @@
       apply(i, StoreAnswered());
       apply(i, ConfigurationSeen{configuration, Version(1)});
       apply(i, listed);
-      apply(i, ViewListed{StoreView::kConfiguration, Version(1)});
-      apply(i, ViewListed{StoreView::kServers, Version(1)});
+      apply(i, ViewListed{StoreView::kConfiguration, {StoreEra(), Version(1)}});
+      apply(i, ViewListed{StoreView::kServers, {StoreEra(), Version(1)}});
     }
     run_for(kWarmUp);
   }
--- a/include/eelgrasspin/ids.h
+++ b/include/eelgrasspin/ids.h
@@ -76,6 +76,9 @@
 /// Object store revision at which a value was last written; 0 means that the
 /// value is absent.
 using Version = Number<struct VersionTag>;
+/// How often the object store has been restored from an older copy. Each
+/// restoration starts a new history of revisions.
+using StoreEra = Number<struct StoreEraTag>;
 /// Identifies one run of a process; two runs under the same name differ.
 using Incarnation = Number<struct IncarnationTag>;
 
--- a/src/codec/fleet_json.cc
+++ b/src/codec/fleet_json.cc
@@ -202,31 +202,54 @@
 }
 
 /// Where no evacuations are ordered, the last two elements are absent.
-fleet::Heartbeat::View view_state_of(const json::array& parts) {
-  fleet::Heartbeat::View view{Version(number(parts.at(0))),
-                              Version(number(parts.at(1))),
-                              milliseconds(number(parts.at(2))),
-                              Version(),
-                              {}};
+fleet::Heartbeat::View view_state_of(const json::array& parts, StoreEra era) {
+  auto position = [&](std::size_t index) {
+    return fleet::StorePosition{era, Version(number(parts.at(index)))};
+  };
+  fleet::Heartbeat::View view{
+      position(0), position(1), milliseconds(number(parts.at(2))), {}, {}};
   if (parts.size() <= 3) return view;
-  view.evacuations = Version(number(parts.at(3)));
+  view.evacuations = position(3);
   for (const json::value& zone : parts.at(4).as_array())
     view.evacuated_zones.emplace_back(view_of(zone));
   return view;
 }
 
 json::array view_state_array(const fleet::Heartbeat::View& view) {
-  json::array parts = {view.configuration.value, view.servers.value,
-                       to_ms(view.age)};
-  if (view.evacuations.value == 0) return parts;
+  json::array parts = {view.configuration.revision.value,
+                       view.servers.revision.value, to_ms(view.age)};
+  if (view.evacuations.revision.value == 0) return parts;
   json::array zones;
   for (const ZoneName& zone : view.evacuated_zones)
     zones.emplace_back(zone.str());
-  parts.emplace_back(view.evacuations.value);
+  parts.emplace_back(view.evacuations.revision.value);
   parts.emplace_back(std::move(zones));
   return parts;
 }
 
+/// Where the store states no era, the last two elements are absent. The last
+/// one is also absent while it is unknown.
+fleet::Heartbeat::Term term_of(const json::array& parts) {
+  fleet::Heartbeat::Term term{ServiceName(view_of(parts.at(0))),
+                              TermEpoch(number(parts.at(1))),
+                              milliseconds(number(parts.at(2))),
+                              {StoreEra(), Version(number(parts.at(3)))},
+                              std::nullopt};
+  if (parts.size() > 4) term.position.era = StoreEra(number(parts.at(4)));
+  if (parts.size() > 5) term.coordinated = TermEpoch(number(parts.at(5)));
+  return term;
+}
+
+json::array term_array(const fleet::Heartbeat::Term& term, bool states_era) {
+  json::array parts = {term.service.str(), term.term.value,
+                       to_ms(term.coordinator_heartbeat_age),
+                       term.position.revision.value};
+  if (!states_era) return parts;
+  parts.emplace_back(term.position.era.value);
+  if (term.coordinated) parts.emplace_back(term.coordinated->value);
+  return parts;
+}
+
 fleet::Heartbeat heartbeat_of(const json::object& object) {
   fleet::Heartbeat heartbeat;
   if (const json::value* daemon = object.if_contains("daemon")) {
@@ -245,17 +268,16 @@
   if (const json::value* silence = object.if_contains("store_silent_ms")) {
     heartbeat.store_unreachable_for = milliseconds(number(*silence));
   }
-  for (const json::value& value : object.at("terms").as_array()) {
-    const json::array& parts = value.as_array();
-    heartbeat.terms.push_back(
-        {ServiceName(view_of(parts.at(0))), TermEpoch(number(parts.at(1))),
-         milliseconds(number(parts.at(2))), Version(number(parts.at(3)))});
-  }
+  if (const json::value* era = object.if_contains("era"))
+    heartbeat.store_era = StoreEra(number(*era));
+  for (const json::value& value : object.at("terms").as_array())
+    heartbeat.terms.push_back(term_of(value.as_array()));
   heartbeat.loads = loads_of(object.at("loads"));
   heartbeat.limits = limits_of(object);
   if (const json::value* view = object.if_contains("view")) {
     const json::array& parts = view->as_array();
-    heartbeat.view = view_state_of(parts);
+    heartbeat.view =
+        view_state_of(parts, heartbeat.store_era.value_or(StoreEra()));
   }
   if (const json::value* key_load_reports = object.if_contains("heats")) {
     for (const json::value& value : key_load_reports->as_array()) {
@@ -341,8 +363,14 @@
 fleet::MapChange change_of(const json::object& object) {
   fleet::MapChange change;
   change.service = ServiceName(text_of(object, "map"));
-  change.base = Version(number(object.at("base")));
-  change.revision = Version(number(object.at("revision")));
+  change.base.revision = Version(number(object.at("base")));
+  change.position.revision = Version(number(object.at("revision")));
+  if (const json::value* era = object.if_contains("era")) {
+    change.states_era = true;
+    change.position.era = StoreEra(number(*era));
+    change.base.era = StoreEra(number(object.at("base_era")));
+  }
+  change.grants_lost = object.if_contains("grants_lost") != nullptr;
   change.coordinator = DaemonName(text_of(object, "coordinator"));
   change.coordinator_incarnation =
       Incarnation(number(object.at("coordinator_incarnation")));
@@ -370,7 +398,7 @@
   }
 }
 
-fleet::OwnerMap map_of(const json::object& object) {
+fleet::OwnerMap map_of(const json::object& object, StoreEra unstated) {
   fleet::OwnerMap map;
   map.service = ServiceName(text_of(object, "service"));
   map.coordinator = DaemonName(text_of(object, "coordinator"));
@@ -383,6 +411,9 @@
   }
   check_ranges(map.ranges);
   map.replaced_coordinators = replaced_coordinators_of(object);
+  const json::value* era = object.if_contains("era");
+  map.era = era == nullptr ? unstated : StoreEra(number(*era));
+  map.grants_lost = object.if_contains("grants_lost") != nullptr;
   return map;
 }
 
@@ -393,9 +424,7 @@
 json::object heartbeat_object(const fleet::Heartbeat& heartbeat) {
   json::array terms;
   for (const auto& term : heartbeat.terms) {
-    terms.push_back(json::array{term.service.str(), term.term.value,
-                                to_ms(term.coordinator_heartbeat_age),
-                                term.revision.value});
+    terms.push_back(term_array(term, heartbeat.store_era.has_value()));
   }
   json::object object = {{"seq", heartbeat.sequence},
                          {"terms", std::move(terms)},
@@ -407,6 +436,7 @@
     object["incarnation"] = heartbeat.daemon.incarnation.value;
   }
   // Fields with default values are omitted, because heartbeats are frequent.
+  if (heartbeat.store_era) object["era"] = heartbeat.store_era->value;
   if (heartbeat.stopping) object["stopping"] = true;
   if (heartbeat.store_unreachable_for.count() > 0) {
     object["store_silent_ms"] = to_ms(heartbeat.store_unreachable_for);
@@ -477,13 +507,18 @@
 std::string encode_map_change(const fleet::MapChange& change) {
   json::object object = {
       {"map", change.service.str()},
-      {"base", change.base.value},
-      {"revision", change.revision.value},
+      {"base", change.base.revision.value},
+      {"revision", change.position.revision.value},
       {"coordinator", change.coordinator.str()},
       {"coordinator_incarnation", change.coordinator_incarnation.value},
       {"term", change.term.value},
       {"next_epoch", change.last_epoch.value},
       {"ranges", ranges_array(change.ranges)}};
+  if (change.states_era) {
+    object["era"] = change.position.era.value;
+    object["base_era"] = change.base.era.value;
+  }
+  if (change.grants_lost) object["grants_lost"] = true;
   add_replaced_coordinators(change.replaced_coordinators, object);
   if (change.forward_within_zone) object["relay"] = true;
   return json::serialize(object);
@@ -512,13 +547,19 @@
       {"coordinator_incarnation", map.coordinator_incarnation.value},
       {"term", map.term.value},
       {"next_epoch", map.last_epoch.value},
-      {"ranges", ranges_array(map.ranges)}};
+      {"ranges", ranges_array(map.ranges)},
+      {"era", map.era.value}};
+  if (map.grants_lost) object["grants_lost"] = true;
   add_replaced_coordinators(map.replaced_coordinators, object);
   return json::serialize(object);
 }
 
-Result<fleet::OwnerMap> decode_owner_map(std::string_view text) {
-  return parse_object<fleet::OwnerMap>(text, "owner map", map_of);
+Result<fleet::OwnerMap> decode_owner_map(std::string_view text,
+                                         StoreEra unstated) {
+  return parse_object<fleet::OwnerMap>(text, "owner map",
+                                       [unstated](const json::object& object) {
+                                         return map_of(object, unstated);
+                                       });
 }
 
 std::string encode_strikes(const std::vector<fleet::Strike>& strikes,
--- a/src/codec/fleet_json.h
+++ b/src/codec/fleet_json.h
@@ -22,8 +22,10 @@
 Result<DaemonMessage> decode_datagram(std::string_view text);
 
 std::string encode_owner_map(const fleet::OwnerMap& map);
-/// Rejects a map whose key ranges overlap or have gaps.
-Result<fleet::OwnerMap> decode_owner_map(std::string_view text);
+/// Rejects a map whose key ranges overlap or have gaps. `unstated` is the era
+/// of a map that states none.
+Result<fleet::OwnerMap> decode_owner_map(std::string_view text,
+                                         StoreEra unstated = {});
 
 /// The record of strikes holds the wall-clock time of each, from which the
 /// reader, whose clock may differ a little, computes its age.
--- a/src/codec/store_update_json.cc
+++ b/src/codec/store_update_json.cc
@@ -148,8 +148,12 @@
 
 json::object store_update_object(const fleet::StoreUpdate& update) {
   json::object object = {{"view", static_cast<std::uint64_t>(update.view)},
-                         {"base", update.base.value},
-                         {"as_of", update.as_of.value}};
+                         {"base", update.base.revision.value},
+                         {"as_of", update.as_of.revision.value}};
+  if (update.states_era) {
+    object["era"] = update.as_of.era.value;
+    object["base_era"] = update.base.era.value;
+  }
   if (update.since_outage) {
     object["since_outage_ms"] = to_ms(*update.since_outage);
   }
@@ -174,8 +178,13 @@
   update.view = number(object.at("view")) == 0
                     ? fleet::StoreView::kConfiguration
                     : fleet::StoreView::kServers;
-  update.base = Version(number(object.at("base")));
-  update.as_of = Version(number(object.at("as_of")));
+  update.base.revision = Version(number(object.at("base")));
+  update.as_of.revision = Version(number(object.at("as_of")));
+  if (const json::value* era = object.if_contains("era")) {
+    update.states_era = true;
+    update.as_of.era = StoreEra(number(*era));
+    update.base.era = StoreEra(number(object.at("base_era")));
+  }
   if (const json::value* since = object.if_contains("since_outage_ms")) {
     update.since_outage = milliseconds(number(*since));
   }
--- a/src/fleet/answers.cc
+++ b/src/fleet/answers.cc
@@ -52,7 +52,7 @@
        {"retry_after", text(retry_delay)},
        {"arriving",
         range != nullptr && !range->previous_owners.empty() ? "yes" : "no"},
-       {"map_revision", keyed ? text(map->second.revision.value) : "-"},
+       {"map_revision", keyed ? text(map->second.position) : "-"},
        {"usable_servers", text(candidates.size())},
        {"least_load", std::to_string(least_load)},
        {"store_age", text(now - state.store_answered_at)}});
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -410,6 +410,11 @@
 /// may return before their servers count as gone: the platform states about two
 /// seconds.
 inline constexpr Duration kRegistryRecoveryTime = milliseconds(1800);
+/// Check-in intervals of silence after which the registry drops an entry.
+inline constexpr std::int64_t kEntryExpiryCheckIns = 3;
+/// Added to terms and epochs for each restoration of the store. It exceeds the
+/// numbers that the store can have lost, so that none is given out twice.
+inline constexpr std::uint64_t kEpochsPerEra = std::uint64_t{1} << 20;
 
 // Copies of the store.
 /// Longest wait of a store watch that only this daemon depends on. A dead
--- a/src/fleet/effect.h
+++ b/src/fleet/effect.h
@@ -59,21 +59,25 @@
 struct WatchStore {
   bool on = true;
   Duration wait{0};  ///< The store answers at the latest after this time.
-  /// The copies are complete up to these revisions.
-  Version configuration_as_of;
-  Version servers_as_of;
-  Version evacuations_as_of;
+  /// The copies are complete up to these positions.
+  StorePosition configuration_as_of;
+  StorePosition servers_as_of;
+  StorePosition evacuations_as_of;
 };
 /// Reads the changes of one part of the store, once.
 struct CatchUp {
   StoreView view = StoreView::kServers;
-  Version as_of;  ///< The copy is complete up to this revision.
+  StorePosition as_of;  ///< The copy is complete up to this position.
 };
+/// Reads everything in the store again, and writes this daemon's own record
+/// again: the store has been restored from an older copy.
+struct ReadStoreAgain {};
 /// Writes the map if the store still has revision `expected` of it (0: no map).
 /// Exactly one MapWriteEnded follows.
 struct WriteMap {
   OwnerMap map;
   Version expected;
+  std::uint64_t number = 0;  ///< Tells the writes of one service apart.
 };
 /// Reads the map from the store. MapSeen or MapMissing follows if it answers.
 struct ReadMap {
@@ -117,9 +121,9 @@
 using Effect =
     std::variant<SendAttempt, CancelAttempt, RelayAnswer, AnswerCaller,
                  SendHeartbeat, SendHeartbeatBatch, SendMapChange,
-                 SendStoreUpdate, WatchStore, CatchUp, WriteMap, ReadMap,
-                 ReadQuarantineRecord, WriteQuarantineRecord, GrantKeys,
-                 ReleaseKeys, LogEvent>;
+                 SendStoreUpdate, WatchStore, CatchUp, ReadStoreAgain, WriteMap,
+                 ReadMap, ReadQuarantineRecord, WriteQuarantineRecord,
+                 GrantKeys, ReleaseKeys, LogEvent>;
 using Effects = std::vector<Effect>;
 
 }  // namespace eelgrasspin::fleet
--- a/src/fleet/election.cc
+++ b/src/fleet/election.cc
@@ -2,9 +2,11 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
+#include "fleet/ownership.h"
 #include "fleet/peers.h"
 
 namespace eelgrasspin::fleet {
@@ -26,29 +28,59 @@
   return unreachable_for < config::kCoordinatorStoreTimeout;
 }
 
-/// Whether no other daemon that could take over has a lower rank.
+/// Whether the daemon states that it coordinates the service.
+bool states_role(const Heartbeat& heartbeat, const ServiceName& service) {
+  return std::any_of(heartbeat.terms.begin(), heartbeat.terms.end(),
+                     [&](const auto& term) {
+                       return term.service == service &&
+                              term.coordinator_heartbeat_age == Duration(0);
+                     });
+}
+
+/// Position of the map that the daemon has stated last.
+StorePosition stated_position(const Heartbeat& heartbeat,
+                              const ServiceName& service) {
+  for (const auto& term : heartbeat.terms) {
+    if (term.service == service) return term.position;
+  }
+  return {};
+}
+
+/// Whether no other daemon that could take over has a lower rank. If the store
+/// has lost the latest map, a daemon that knows a later one comes first.
 bool is_first_candidate(const State& state, const ServiceName& service,
-                        TimePoint now) {
+                        const MapState& map, TimePoint now) {
   auto own = takeover_rank(state, service, state.settings.self.name);
   for (const auto& [name, peer] : state.fleet.peers) {
     if (!is_alive(state, name, now) || peer.heartbeat.stopping ||
         !store_is_reachable(peer.heartbeat.store_unreachable_for)) {
       continue;
     }
+    StorePosition theirs = stated_position(peer.heartbeat, service);
+    if (is_lost(state, map) && theirs > map.position) return false;
+    // Also if the store no longer holds this daemon's version of the map.
+    if (is_lost(state, map) ? theirs < map.position
+                            : theirs.era < map.position.era) {
+      continue;
+    }
     if (takeover_rank(state, service, name) < own) return false;
   }
   return true;
 }
 
 /// Whether recent heartbeats of the coordinator show that it is working.
-bool coordinator_is_working(const State& state, const OwnerMap& map,
-                            TimePoint now) {
+bool coordinator_is_working(const State& state, const ServiceName& service,
+                            const MapState& map_state, TimePoint now) {
+  const OwnerMap& map = *map_state.map;
   auto peer = state.fleet.peers.find(map.coordinator);
   if (peer == state.fleet.peers.end() ||
       !is_alive(state, map.coordinator, now)) {
     return false;
   }
   const Heartbeat& last = peer->second.heartbeat;
+  // One that has not learned of the write that made it coordinator cannot read
+  // it from the store any more.
+  if (is_lost(state, map_state) && !states_role(last, service)) return false;
   return last.daemon.incarnation == map.coordinator_incarnation &&
          !last.stopping && store_is_reachable(last.store_unreachable_for);
 }
@@ -94,9 +126,13 @@
       now - state.started < config::kElectionStartDelay) {
     return false;
   }
-  if (!map.map) return map.absent && is_first_candidate(state, service, now);
-  if (coordinates(state, *map.map)) return false;
-  if (coordinator_is_working(state, *map.map, now)) return false;
+  if (!map.map) {
+    return map.absent && is_first_candidate(state, service, map, now);
+  }
+  // A daemon that no longer has the role takes it up again only if the store
+  // has lost who had it.
+  if (coordinates(state, *map.map)) return is_lost(state, map);
+  if (coordinator_is_working(state, service, map, now)) return false;
   bool ended = has_ended(state, coordinator_of(*map.map));
   auto peer = state.fleet.peers.find(map.map->coordinator);
   bool known_unfit = ended || (peer != state.fleet.peers.end() &&
@@ -112,7 +148,7 @@
     }
     if (others_receive_heartbeats(state, service, *map.map, now)) return false;
   }
-  return is_first_candidate(state, service, now);
+  return is_first_candidate(state, service, map, now);
 }
 
 }  // namespace eelgrasspin::fleet
--- a/src/fleet/evacuations.cc
+++ b/src/fleet/evacuations.cc
@@ -3,6 +3,7 @@
 #include "fleet/cold_servers.h"
 #include "fleet/log_event.h"
 #include "fleet/requests.h"
+#include "fleet/store_restoration.h"
 
 namespace eelgrasspin::fleet {
 namespace {
@@ -44,6 +45,17 @@
   if (changed) retry_waiting(state, now, effects);
 }
 
+/// Adopts what the store lists. An evacuation that a restored store does not
+/// list may be one that it has lost and that will be ordered again.
+void adopt_listed(State& state, std::set<ZoneName> listed, TimePoint now,
+                  Effects& effects) {
+  state.listed_evacuations = listed;
+  if (lists_outdated_entries(state, now)) {
+    listed.insert(state.evacuated_zones.begin(), state.evacuated_zones.end());
+  }
+  adopt_zones(state, listed, now, effects);
+}
+
 }  // namespace
 
 void on_evacuations_listed(State& state, const EvacuationsListed& listed,
@@ -54,7 +66,7 @@
   view.as_of = listed.as_of;
   view.last_change = listed.as_of;
   view.answered_at = now;
-  adopt_zones(state, {listed.zones.begin(), listed.zones.end()}, now, effects);
+  adopt_listed(state, {listed.zones.begin(), listed.zones.end()}, now, effects);
 }
 
 void on_evacuations_changed(State& state, const StoreUpdate& update,
@@ -69,8 +81,10 @@
   for (const EvacuationChange& change : update.evacuations) {
     if (change.ordered) {
       zones.insert(change.zone);
+      state.listed_evacuations.insert(change.zone);
     } else {
       zones.erase(change.zone);
+      state.listed_evacuations.erase(change.zone);
     }
   }
   adopt_zones(state, zones, now, effects);
@@ -82,15 +96,23 @@
   if (relay.evacuations <= view.as_of) return;
   view.as_of = relay.evacuations;
   view.last_change = relay.evacuations;
-  adopt_zones(state,
-              {relay.evacuated_zones.begin(), relay.evacuated_zones.end()}, now,
-              effects);
+  adopt_listed(state,
+               {relay.evacuated_zones.begin(), relay.evacuated_zones.end()},
+               now, effects);
+}
+
+void tick_evacuations(State& state, TimePoint now, Effects& effects) {
+  if (!state.restored_at || state.evacuated_zones == state.listed_evacuations ||
+      lists_outdated_entries(state, now)) {
+    return;
+  }
+  adopt_zones(state, state.listed_evacuations, now, effects);
 }
 
 bool evacuations_known(const State& state) {
   if (!state.settings.evacuation_time) return true;
   auto view = state.views.find(StoreView::kEvacuations);
-  return view != state.views.end() && view->second.as_of.value > 0;
+  return view != state.views.end() && view->second.as_of.revision.value > 0;
 }
 
 }  // namespace eelgrasspin::fleet
--- a/src/fleet/evacuations.h
+++ b/src/fleet/evacuations.h
@@ -18,6 +18,9 @@
 void follow_evacuations(State& state, const Heartbeat::View& relay,
                         TimePoint now, Effects& effects);
 
+/// Ends evacuations that only stayed in force because the store was restored.
+void tick_evacuations(State& state, TimePoint now, Effects& effects);
+
 /// Whether the orders are known, or none are given in this deployment.
 bool evacuations_known(const State& state);
 
--- a/src/fleet/event.cc
+++ b/src/fleet/event.cc
@@ -7,6 +7,8 @@
 std::string_view event_name(const Event& event) {
   // In the order of the variant's alternatives.
   constexpr std::array<std::string_view, std::variant_size_v<Event>> kNames = {
+      "store_era_seen",
+      "earlier_era_answered",
       "configuration_seen",
       "servers_listed",
       "server_seen",
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -9,6 +9,15 @@
 namespace eelgrasspin::fleet {
 
 // From the store.
+/// An answer states an era that is later than all before. Comes before the
+/// other events of the answer.
+struct StoreEraSeen {
+  StoreEra era;
+};
+/// An answer was dropped because it states an earlier era.
+struct EarlierEraAnswered {
+  StoreEra era;
+};
 struct ConfigurationSeen {
   std::shared_ptr<const Configuration> configuration;
   Version revision;
@@ -16,7 +25,7 @@
 /// Every readable entry of the registry.
 struct ServersListed {
   std::vector<Server> servers;
-  Version as_of;  ///< Revision of the store; 0 if unknown.
+  StorePosition as_of;  ///< Position of the store; 0 if unknown.
 };
 struct ServerSeen {
   Server server;
@@ -24,7 +33,7 @@
 /// Every zone whose evacuation is ordered.
 struct EvacuationsListed {
   std::vector<ZoneName> zones;
-  Version as_of;  ///< Revision of the store.
+  StorePosition as_of;  ///< Position of the store.
 };
 struct ServerRemoved {
   ServerName name;
@@ -33,7 +42,7 @@
 /// before this one.
 struct ViewListed {
   StoreView view = StoreView::kServers;
-  Version as_of;
+  StorePosition as_of;
 };
 /// The store's answer to a watch; without changes if its wait expired.
 struct StoreChanged {
@@ -41,10 +50,12 @@
 };
 struct MapSeen {
   OwnerMap map;
-  Version revision;
+  Version revision;  ///< Of its record.
+  StoreEra read_in;  ///< Era of the store that was read.
 };
 struct MapMissing {
   ServiceName service;
+  StoreEra read_in;
 };
 struct DaemonSeen {
   DaemonRecord daemon;
@@ -57,14 +68,16 @@
 };
 struct MapWriteEnded {
   ServiceName service;
+  std::uint64_t number = 0;  ///< As in WriteMap.
   WriteOutcome outcome = WriteOutcome::kUnknown;
-  Version revision;  ///< After kWritten.
+  StorePosition position;  ///< After kWritten.
 };
 /// Outcome of a read of the record of requests in quarantine.
 struct QuarantineRecordRead {
   bool answered = false;  ///< The store has answered.
   Version revision;       ///< 0: there is no record.
   std::vector<Strike> strikes;
+  StoreEra read_in;
 };
 struct QuarantineRecordWritten {
   WriteOutcome outcome = WriteOutcome::kUnknown;
@@ -180,13 +193,15 @@
   Duration gap{0};
 };
 
-using Event = std::variant<
-    ConfigurationSeen, ServersListed, ServerSeen, ServerRemoved,
-    EvacuationsListed, ViewListed, StoreChanged, StoreUpdateReceived, MapSeen,
-    MapMissing, DaemonSeen, MapWriteEnded, QuarantineRecordRead,
-    QuarantineRecordWritten, StoreAnswered, StoreFailed, HeartbeatReceived,
-    HeartbeatBatchReceived, MapChangeReceived, RequestReceived, CallerLeft,
-    AttemptEnded, OrderEnded, Tick, StopOrdered, Resumed>;
+using Event =
+    std::variant<StoreEraSeen, EarlierEraAnswered, ConfigurationSeen,
+                 ServersListed, ServerSeen, ServerRemoved, EvacuationsListed,
+                 ViewListed, StoreChanged, StoreUpdateReceived, MapSeen,
+                 MapMissing, DaemonSeen, MapWriteEnded, QuarantineRecordRead,
+                 QuarantineRecordWritten, StoreAnswered, StoreFailed,
+                 HeartbeatReceived, HeartbeatBatchReceived, MapChangeReceived,
+                 RequestReceived, CallerLeft, AttemptEnded, OrderEnded, Tick,
+                 StopOrdered, Resumed>;
 
 /// Names for logs and metrics.
 std::string_view event_name(const Event& event);
--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -284,6 +284,21 @@
   return next;
 }
 
+/// When the keys of an unconfirmed grant may be given to its owner: others may
+/// hold them by grants that the store has lost. Empty if they may be given now.
+std::optional<TimePoint> lost_grants_end(
+    const CoordinatorRole& coordinator_role, const KeyRange& range,
+    const Lease& lease, TimePoint now) {
+  const auto& until = coordinator_role.lost_grants_until;
+  if (lease.confirmed || !until || now >= *until) return std::nullopt;
+  // This may be a renewal; an owner that has lost the keys refuses it.
+  if (range.previous_owners.empty() &&
+      range.epoch <= coordinator_role.last_epoch_before_loss) {
+    return std::nullopt;
+  }
+  return until;
+}
+
 /// Sends the order that is due for the range, if any. Returns when to look at
 /// the range again; empty: at the end of its pending order, or once the map has
 /// changed.
@@ -303,6 +318,8 @@
   if (lease.pending_order != 0) return std::nullopt;
   if (now < lease.next_order_at) return lease.next_order_at;
   if (!is_current(state, range.owner)) return now + config::kOwnerCheckInterval;
+  if (auto until = lost_grants_end(coordinator_role, range, lease, now))
+    return until;
   Duration interval = lease.low_traffic ? config::kLowTrafficRenewalInterval
                                         : config::kGrantRenewalInterval;
   if (lease.confirmed && now - lease.renewed_at < interval)
@@ -511,6 +528,13 @@
   map.coordinator_role->due = std::move(due);
 }
 
+void look_at_unconfirmed(CoordinatorRole& coordinator_role, TimePoint now) {
+  for (auto& [first, lease] : coordinator_role.leases) {
+    if (!lease.confirmed && lease.due_at && *lease.due_at > now)
+      set_due(coordinator_role, first, lease, now);
+  }
+}
+
 void set_low_traffic(CoordinatorRole& coordinator_role, ShardKey first,
                      Lease& lease, bool low_traffic, TimePoint now) {
   if (lease.low_traffic == low_traffic) return;
--- a/src/fleet/leases.h
+++ b/src/fleet/leases.h
@@ -15,6 +15,8 @@
                      TimePoint now, Effects& effects);
 /// Allows as many orders as may be sent until the next tick.
 void allow_orders_of_tick(State& state, CoordinatorRole& coordinator_role);
+/// Looks at ranges again whose owner has not confirmed its grant.
+void look_at_unconfirmed(CoordinatorRole& coordinator_role, TimePoint now);
 /// Records that a server may hold keys until the time given.
 void record_possible_grant(CoordinatorRole& coordinator_role,
                            const PossibleGrant& possible, TimePoint now);
--- a/src/fleet/model.cc
+++ b/src/fleet/model.cc
@@ -30,18 +30,18 @@
   return key <= range.last ? &range : nullptr;
 }
 
-MapChange change_between(const OwnerMap& before, Version base,
-                         const OwnerMap& after, Version revision) {
-  MapChange change{after.service,
-                   base,
-                   revision,
-                   after.coordinator,
-                   after.coordinator_incarnation,
-                   after.term,
-                   after.last_epoch,
-                   {},
-                   after.replaced_coordinators,
-                   false};
+MapChange change_between(const OwnerMap& before, StorePosition base,
+                         const OwnerMap& after, StorePosition position) {
+  MapChange change;
+  change.service = after.service;
+  change.base = base;
+  change.position = position;
+  change.coordinator = after.coordinator;
+  change.coordinator_incarnation = after.coordinator_incarnation;
+  change.term = after.term;
+  change.last_epoch = after.last_epoch;
+  change.replaced_coordinators = after.replaced_coordinators;
+  change.grants_lost = after.grants_lost;
   for (const KeyRange& range : after.ranges) {
     const KeyRange* old = find_range(before, range.first);
     if (old == nullptr || *old != range) change.ranges.push_back(range);
@@ -57,6 +57,8 @@
   next.term = change.term;
   next.last_epoch = change.last_epoch;
   next.replaced_coordinators = change.replaced_coordinators;
+  next.era = change.position.era;
+  next.grants_lost = change.grants_lost;
   std::erase_if(next.ranges, [&](const KeyRange& range) {
     return std::any_of(
         change.ranges.begin(), change.ranges.end(),
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -12,6 +12,7 @@
 
 #include "eelgrasspin/ids.h"
 #include "eelgrasspin/units.h"
+#include "fleet/store_position.h"
 
 /// Routing and key ownership for a fleet of equal daemons that share one object
 /// store. This part only makes decisions: it does no I/O and reads no clock.
@@ -120,6 +121,11 @@
   std::vector<KeyRange> ranges;  ///< Sorted, without gaps; cover all keys.
   /// Coordinators of earlier terms that may still renew grants.
   std::vector<DaemonIncarnation> replaced_coordinators;
+  /// Era of the store for which this version of the map was written. A map of
+  /// an earlier era may lack changes that the store has lost.
+  StoreEra era;
+  /// Servers may hold keys by grants of which the store has lost the map.
+  bool grants_lost = false;
   bool operator==(const OwnerMap&) const = default;
 };
 
@@ -191,12 +197,19 @@
   /// Time since the last answer of the store if the last call to it failed,
   /// else 0.
   Duration store_unreachable_for{0};
+  /// Era of the store as the daemon knows it; empty if none was stated. The
+  /// positions below are then of the receiver's era.
+  std::optional<StoreEra> store_era;
   struct Term {
     ServiceName service;
     TermEpoch term;  ///< The highest that the daemon knows of.
     /// Since it last received a heartbeat of the coordinator.
     Duration coordinator_heartbeat_age{0};
-    Version revision;  ///< Of the map that the daemon has.
+    StorePosition position;  ///< Of the map that the daemon has.
+    /// The last term in which the daemon has coordinated the service, 0 if it
+    /// never has. Only stated by a daemon that was running long before the
+    /// store was last restored.
+    std::optional<TermEpoch> coordinated;
   };
   std::vector<Term> terms;
   struct Load {
@@ -237,10 +250,10 @@
   std::vector<LimitReport> limits;
   /// How current a zone relay's copies of the store are.
   struct View {
-    Version configuration;  ///< Store revision of its last change.
-    Version servers;        ///< Store revision of their last change.
-    Duration age{0};        ///< Since the store last answered.
-    Version evacuations;    ///< Likewise; 0: not known.
+    StorePosition configuration;  ///< Of its last change.
+    StorePosition servers;        ///< Of their last change.
+    Duration age{0};              ///< Since the store last answered.
+    StorePosition evacuations;    ///< Of their last change; 0: not known.
     std::vector<ZoneName> evacuated_zones;
   };
   std::optional<View> view;  ///< Set only by a zone's relay.
@@ -274,9 +287,12 @@
 /// Changes of one part of the store.
 struct StoreUpdate {
   StoreView view = StoreView::kServers;
-  /// A copy at this revision or a later one is complete after the changes.
-  Version base;
-  Version as_of;  ///< Revision of the store after the changes.
+  /// Whether the era of the positions is known; otherwise they are of the
+  /// receiver's era.
+  bool states_era = false;
+  /// A copy at this position or a later one is complete after the changes.
+  StorePosition base;
+  StorePosition as_of;  ///< Position of the store after the changes.
   /// The newest configuration; null if it has not changed.
   std::shared_ptr<const Configuration> configuration;
   Version configuration_revision;
@@ -304,8 +320,11 @@
 /// its zone and to the relays of the other zones.
 struct MapChange {
   ServiceName service;
-  Version base;      ///< Revision of the map that was changed.
-  Version revision;  ///< Of the map after it.
+  /// Whether the era of the positions is known; otherwise they are of the
+  /// receiver's era.
+  bool states_era = false;
+  StorePosition base;      ///< Of the map that was changed.
+  StorePosition position;  ///< Of the map after it.
   DaemonName coordinator;
   Incarnation coordinator_incarnation;
   TermEpoch term;
@@ -313,13 +332,14 @@
   /// Changed ranges; they replace the ranges that they overlap.
   std::vector<KeyRange> ranges;
   std::vector<DaemonIncarnation> replaced_coordinators;  ///< As in the map.
+  bool grants_lost = false;                              ///< As in the map.
   /// Set if a relay that receives it has to forward it to its zone.
   bool forward_within_zone = false;
 };
 
-/// The change that turns `before` at revision `base` into `after`.
-MapChange change_between(const OwnerMap& before, Version base,
-                         const OwnerMap& after, Version revision);
+/// The change that turns `before` at position `base` into `after`.
+MapChange change_between(const OwnerMap& before, StorePosition base,
+                         const OwnerMap& after, StorePosition position);
 /// The map after a change; empty if the ranges would not cover all keys.
 std::optional<OwnerMap> apply_change(const OwnerMap& map,
                                      const MapChange& change);
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -10,6 +10,7 @@
 #include "fleet/registry.h"
 #include "fleet/replan.h"
 #include "fleet/requests.h"
+#include "fleet/store_restoration.h"
 #include "fleet/zone_relay.h"
 
 namespace eelgrasspin::fleet {
@@ -44,12 +45,40 @@
   return now + renewing + longest_hold(state.settings);
 }
 
+/// Takes note that servers may hold keys by grants which this coordinator does
+/// not know. They have ended once every daemon that may have made them has
+/// stopped renewing, and the longest hold has passed.
+void expect_lost_grants(const State& state, CoordinatorRole& role,
+                        TermEpoch term, TimePoint now) {
+  bool expected =
+      role.lost_grants_until.has_value() && now < *role.lost_grants_until;
+  role.grants_may_be_lost = expected || !remembers_lost_grants(state);
+  role.lost_grants_until =
+      now + config::kMaxRenewalWithoutStore + longest_hold(state.settings);
+  role.term_before_loss = term;
+  role.lost_coordinators.clear();
+  for (const auto& [name, daemon] : state.fleet.daemon_records) {
+    if (name != state.settings.self.name)
+      role.lost_coordinators.push_back({name, daemon.incarnation});
+  }
+}
+
 void start_coordinator_role(State& state, MapState& map,
                             const std::optional<OwnerMap>& before,
                             TimePoint now, Effects& effects) {
   map.coordinator_role.emplace();
   map.coordinator_role->started_at = now;
   map.coordinator_role->last_placement = now;
+  map.coordinated = map.map->term;
+  if (map.map->grants_lost) {
+    TermEpoch term_before = before ? before->term : TermEpoch();
+    expect_lost_grants(state, *map.coordinator_role, term_before, now);
+    if (before) {
+      map.coordinator_role->last_epoch_before_loss = before->last_epoch;
+      // Then the loss is not the one that this daemon knows of.
+      if (before->grants_lost) map.coordinator_role->grants_may_be_lost = true;
+    }
+  }
   allow_orders_of_tick(state, *map.coordinator_role);
   if (before) {
     auto& predecessors = map.coordinator_role->predecessors;
@@ -76,12 +105,14 @@
              {"before", before ? before->coordinator.str() : "-"}});
 }
 
-void adopt(State& state, MapState& map, const OwnerMap& next, Version revision,
-           TimePoint now, Effects& effects) {
+void adopt(State& state, MapState& map, const OwnerMap& next,
+           StorePosition position, TimePoint now, Effects& effects) {
   std::optional<OwnerMap> before = map.map;
   bool new_term = !before || before->term != next.term;
   map.map = next;
-  map.revision = revision;
+  map.position = position;
+  map.stored = std::max(map.stored, position);
+  map.known_before_restoration = false;
   map.absent = false;
   map.behind_since.reset();
   map.confirmed_at = now;
@@ -90,12 +121,12 @@
   log_event(effects, "map_adopted",
             {{"service", next.service.str()},
              {"term", text(next.term.value)},
-             {"revision", text(revision.value)},
+             {"position", text(position)},
              {"ranges", text(next.ranges.size())},
              {"coordinator", next.coordinator.str()}});
   if (!coordinates(state, next)) {
     end_coordinator_role(map, "replaced", effects);
-  } else if (!map.coordinator_role) {
+  } else if (!map.coordinator_role && !is_lost(state, map)) {
     start_coordinator_role(state, map, before, now, effects);
   }
   if (map.coordinator_role) {
@@ -105,11 +136,25 @@
   retry_waiting(state, now, effects);
 }
 
-void start_write(MapState& map, OwnerMap next, Effects& effects) {
-  map.pending_write = std::move(next);
+void send_write(MapState& map, Effects& effects) {
   map.resend_write = false;
+  effects.emplace_back(
+      WriteMap{*map.pending_write, map.stored.revision, map.write_number});
+}
+
+void start_write(const State& state, MapState& map, OwnerMap next,
+                 Effects& effects) {
+  next.era = current_era(state);
+  map.pending_write = std::move(next);
+  ++map.write_number;
   map.write_may_be_done = false;
-  effects.emplace_back(WriteMap{*map.pending_write, map.revision});
+  send_write(map, effects);
+}
+
+/// Whether this daemon has read what a restored store holds of the map, which
+/// is the condition of a write.
+bool knows_stored(const State& state, const MapState& map) {
+  return map.stored.era == current_era(state);
 }
 
 /// Starts the role again after the store has confirmed that the map is still
@@ -120,6 +165,8 @@
       map.highest_term > map.map->term) {
     return;
   }
+  // Another coordinator may have replaced this daemon in a write that is lost.
+  if (is_lost(state, map)) return;
   start_coordinator_role(state, map, map.map, now, effects);
   update_leases(map);
 }
@@ -148,23 +195,26 @@
   allow_orders_of_tick(state, *map.coordinator_role);
   send_due_orders(state, service, map, now, effects);
   if (map.pending_write || now < map.next_write ||
-      !store_reachable(state, now)) {
+      !store_reachable(state, now) || !knows_stored(state, map)) {
     return;
   }
+  // A write of an earlier era that was carried out late may have replaced it.
+  if (is_lost(state, map) || map.stored != map.position) {
+    return start_write(state, map, map_after_loss(state, map, now), effects);
+  }
   auto next = replan(state, service, map, now, effects);
-  if (next) start_write(map, std::move(*next), effects);
+  if (next) start_write(state, map, std::move(*next), effects);
 }
 
 void tick_service(State& state, const ServiceName& service, TimePoint now,
                   Effects& effects) {
   MapState& map = state.maps[service];
-  if (map.pending_write && map.resend_write && now >= map.next_write) {
-    map.resend_write = false;
-    effects.emplace_back(WriteMap{*map.pending_write, map.revision});
-  }
+  if (map.pending_write && map.resend_write && now >= map.next_write)
+    send_write(map, effects);
   bool behind = map.behind_since &&
                 now - *map.behind_since >= config::kOutdatedMapReadDelay;
-  bool unknown = (!map.map && !map.absent) || map.must_verify || behind;
+  bool unknown = (!map.map && !map.absent) || map.must_verify || behind ||
+                 !knows_stored(state, map);
   if (unknown && now >= map.next_read) {
     map.next_read = now + kMapReadInterval;
     effects.emplace_back(ReadMap{service});
@@ -172,38 +222,44 @@
   if (map.coordinator_role)
     run_coordinator_role(state, service, map, now, effects);
   if (map.coordinator_role || now < map.next_write) return;
-  if (!should_take_over(state, service, map, now)) return;
+  if (!knows_stored(state, map) || !should_take_over(state, service, map, now))
+    return;
   if (map.map) {
     log_event(effects, "coordinator_stands",
               {{"service", service.str()},
                {"term", text(map.map->term.next().value)},
                {"before", map.map->coordinator.str()},
                {"silent", text(now - map.coordinator_heartbeat_at)}});
-    return start_write(map, take_over_map(state, *map.map), effects);
+    return start_write(state, map, take_over_map(state, map, now), effects);
   }
   auto first = first_map(state, service, now);
-  if (first) start_write(map, std::move(*first), effects);
+  if (first) start_write(state, map, std::move(*first), effects);
 }
 
 }  // namespace
 
 void on_map(State& state, const MapSeen& seen, TimePoint now,
             Effects& effects) {
+  if (seen.read_in < current_era(state)) return;
   MapState& map = state.maps[seen.map.service];
+  StorePosition position{seen.map.era, seen.revision};
+  map.stored = std::max(map.stored, {seen.read_in, seen.revision});
   bool verified = std::exchange(map.must_verify, false);
   map.confirmed_at = now;
-  if (map.map && seen.revision <= map.revision) {
+  if (map.map && position <= map.position) {
     map.behind_since.reset();
     if (verified) resume_coordinator_role(state, map, now, effects);
     return;
   }
   if (map.pending_write) map.pending_write.reset();
-  adopt(state, map, seen.map, seen.revision, now, effects);
+  adopt(state, map, seen.map, position, now, effects);
 }
 
 void on_map_change(State& state, const MapChangeReceived& received,
                    TimePoint now, Effects& effects) {
-  const MapChange& change = received.change;
+  MapChange change = received.change;
+  if (!change.states_era)
+    change.base.era = change.position.era = current_era(state);
   if (change.forward_within_zone)
     forward_map_change(state, change, now, effects);
   auto found = state.maps.find(change.service);
@@ -211,14 +267,16 @@
   MapState& map = found->second;
   // A change of any other base is ignored; heartbeats show that the map is
   // outdated, and it is read from the store.
-  if (change.base != map.revision || map.pending_write || map.coordinator_role)
+  if (change.base != map.position || map.pending_write || map.coordinator_role)
     return;
   auto next = apply_change(*map.map, change);
-  if (next) adopt(state, map, *next, change.revision, now, effects);
+  if (next) adopt(state, map, *next, change.position, now, effects);
 }
 
 void on_map_missing(State& state, const MapMissing& missing, TimePoint now) {
+  if (missing.read_in < current_era(state)) return;
   MapState& map = state.maps[missing.service];
+  map.stored = std::max(map.stored, {missing.read_in, Version()});
   if (map.map) return;
   map.absent = true;
   map.behind_since.reset();
@@ -228,18 +286,18 @@
 void on_map_written(State& state, const MapWriteEnded& ended, TimePoint now,
                     Effects& effects) {
   MapState& map = state.maps[ended.service];
-  if (!map.pending_write) return;
+  if (!map.pending_write || ended.number != map.write_number) return;
   switch (ended.outcome) {
     case WriteOutcome::kWritten: {
       OwnerMap written = std::move(*map.pending_write);
       map.pending_write.reset();
       if (map.map) {
-        send_map_change(
-            state,
-            change_between(*map.map, map.revision, written, ended.revision),
-            now, effects);
+        MapChange change =
+            change_between(*map.map, map.position, written, ended.position);
+        change.states_era = state.store_era.has_value();
+        send_map_change(state, std::move(change), now, effects);
       }
-      adopt(state, map, written, ended.revision, now, effects);
+      adopt(state, map, written, ended.position, now, effects);
       break;
     }
     case WriteOutcome::kConflict:
@@ -264,7 +322,7 @@
     log_event(effects, "map_not_written",
               {{"service", ended.service.str()},
                {"outcome", std::to_string(static_cast<int>(ended.outcome))},
-               {"base", text(map.revision.value)}});
+               {"base", text(map.stored)}});
   }
 }
 
@@ -293,6 +351,37 @@
   }
 }
 
+/// Takes note of what a daemon states that may have made lost grants.
+void hear_lost_coordinator(const State& state, MapState& map,
+                           const Heartbeat& heartbeat,
+                           const Heartbeat::Term& term, TimePoint now,
+                           Effects& effects) {
+  CoordinatorRole& role = *map.coordinator_role;
+  if (!role.lost_grants_until) return;
+  auto found =
+      std::find_if(role.lost_coordinators.begin(), role.lost_coordinators.end(),
+                   [&heartbeat](const DaemonIncarnation& daemon) {
+                     return daemon.name == heartbeat.daemon.name;
+                   });
+  if (found == role.lost_coordinators.end()) return;
+  bool ended = heartbeat.daemon.incarnation != found->incarnation;
+  bool has_not_coordinated =
+      !ended && term.coordinated && *term.coordinated < role.term_before_loss;
+  bool knows_this_term = !is_lost(state, map) && term.term >= map.map->term;
+  if (!has_not_coordinated && !ended && !knows_this_term) return;
+  if (!has_not_coordinated) role.grants_may_be_lost = true;
+  role.lost_coordinators.erase(found);
+  if (!role.lost_coordinators.empty()) return;
+  Duration rest =
+      role.grants_may_be_lost ? longest_hold(state.settings) : Duration(0);
+  role.lost_grants_until = std::min(*role.lost_grants_until, now + rest);
+  look_at_unconfirmed(role, now);
+  log_event(effects, "lost_grants_bounded",
+            {{"service", map.map->service.str()},
+             {"term", text(map.map->term.value)},
+             {"wait", text(rest)}});
+}
+
 }  // namespace
 
 void on_terms(State& state, const Heartbeat& heartbeat, TimePoint now,
@@ -301,7 +390,7 @@
     auto found = state.maps.find(term.service);
     if (found == state.maps.end()) continue;
     MapState& map = found->second;
-    if (term.revision > map.revision && !map.behind_since) {
+    if (term.position > map.position && !map.behind_since) {
       map.behind_since = now;
     }
     if (!map.map) continue;
@@ -310,8 +399,10 @@
         map.map->coordinator_incarnation == heartbeat.daemon.incarnation) {
       map.coordinator_heartbeat_at = now;
     }
-    if (map.coordinator_role)
+    if (map.coordinator_role) {
       end_predecessor(state, map, heartbeat, term.term, now);
+      hear_lost_coordinator(state, map, heartbeat, term, now, effects);
+    }
     if (map.coordinator_role && term.term > map.map->term) {
       end_coordinator_role(map, "higher_term_heard", effects);
       map.must_verify = true;
@@ -323,6 +414,7 @@
                 Effects& effects) {
   log_event(effects, "resumed", {{"gap", text(resumed.gap)}});
   if (resumed.gap < kHarmlessPauseTime) return;
+  state.resumed_at = now;
   for (auto& [service, map] : state.maps) {
     if (!map.coordinator_role) continue;
     map.must_verify = true;
@@ -330,6 +422,37 @@
   }
 }
 
+bool is_lost(const State& state, const MapState& map) {
+  return map.map && map.position.era < current_era(state);
+}
+
+void on_maps_lost(State& state, StoreEra before, TimePoint now,
+                  Effects& effects) {
+  for (auto& [service, map] : state.maps) {
+    // A write of the earlier era may be carried out late; the record is read
+    // before the next write.
+    map.pending_write.reset();
+    map.next_write = now;
+    // The list of all records comes first.
+    map.next_read =
+        now + (map.coordinator_role ? Duration(0) : kMapReadInterval);
+    if (!map.map) continue;
+    // During a pause or without the store, this daemon may have missed changes.
+    bool missed_changes = map.behind_since || map.must_verify ||
+                          now - state.resumed_at < longest_hold(state.settings);
+    bool was_latest =
+        map.position.era >= before || map.known_before_restoration;
+    map.known_before_restoration = was_latest && !missed_changes;
+    if (map.must_verify) end_coordinator_role(map, "store_restored", effects);
+    if (!map.coordinator_role) continue;
+    expect_lost_grants(state, *map.coordinator_role, map.map->term, now);
+    log_event(effects, "map_lost",
+              {{"service", service.str()},
+               {"term", text(map.map->term.value)},
+               {"position", text(map.position)}});
+  }
+}
+
 void tick_ownership(State& state, TimePoint now, Effects& effects) {
   if (!state.configuration) return;
   for (const auto& [name, service] : state.configuration->services) {
--- a/src/fleet/ownership.h
+++ b/src/fleet/ownership.h
@@ -19,6 +19,12 @@
                     Effects& effects);
 void on_order_ended(State& state, const OrderEnded& ended, TimePoint now,
                     Effects& effects);
+/// The store has lost its latest records of the era `before`. A coordinator
+/// keeps its role and writes its map again; owners keep their keys.
+void on_maps_lost(State& state, StoreEra before, TimePoint now,
+                  Effects& effects);
+/// Whether the store may lack the latest version of the map.
+bool is_lost(const State& state, const MapState& map);
 /// Applies the terms that another daemon has named. A coordinator that has been
 /// replaced ends its term.
 void on_terms(State& state, const Heartbeat& heartbeat, TimePoint now,
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -12,6 +12,7 @@
 #include "fleet/registry.h"
 #include "fleet/server_limits.h"
 #include "fleet/server_notices.h"
+#include "fleet/store_restoration.h"
 #include "fleet/store_view.h"
 #include "fleet/zone_relay.h"
 
@@ -24,7 +25,10 @@
     if (!map.map) continue;
     Duration heartbeat_age =
         map.coordinator_role ? Duration(0) : now - map.coordinator_heartbeat_at;
-    terms.push_back({service, map.highest_term, heartbeat_age, map.revision});
+    Heartbeat::Term term{service, map.highest_term, heartbeat_age,
+                         map.position};
+    if (remembers_lost_grants(state)) term.coordinated = map.coordinated;
+    terms.push_back(std::move(term));
   }
   return terms;
 }
@@ -56,6 +60,16 @@
   return {to.begin(), to.end()};
 }
 
+/// Positions of a daemon that states no era are taken for those of this one's.
+void assume_era(Heartbeat& heartbeat, StoreEra era) {
+  if (heartbeat.store_era) return;
+  for (Heartbeat::Term& term : heartbeat.terms) term.position.era = era;
+  if (!heartbeat.view) return;
+  heartbeat.view->configuration.era = era;
+  heartbeat.view->servers.era = era;
+  heartbeat.view->evacuations.era = era;
+}
+
 void forget_timed_out(State& state, TimePoint now, Effects& effects) {
   for (auto it = state.fleet.peers.begin(); it != state.fleet.peers.end();) {
     if (now - it->second.received_at <= config::kDaemonRetention) {
@@ -120,6 +134,7 @@
   }
   PeerState& peer = state.fleet.peers[from];
   Heartbeat before = std::exchange(peer.heartbeat, heartbeat);
+  assume_era(peer.heartbeat, current_era(state));
   peer.received_at = now - heartbeat.age;
   replace_loads(state, peer, before.loads);
   if (heartbeat.limits.empty()) {
@@ -137,7 +152,7 @@
   on_strikes(state, heartbeat.strikes, now);
   on_leaving_reports(state, heartbeat.leaving_servers, now, effects);
   on_unreachable_reports(state, heartbeat.unreachable_servers, now);
-  on_terms(state, heartbeat, now, effects);
+  on_terms(state, peer.heartbeat, now, effects);
   return true;
 }
 
@@ -157,6 +172,7 @@
       now - state.started < config::kFullRecordsAfterStart;
   heartbeat.stopping = state.stopping;
   heartbeat.store_unreachable_for = store_unreachable_for(state, now);
+  heartbeat.store_era = state.store_era;
   heartbeat.terms = own_terms(state, now);
   heartbeat.loads = own_loads(state, other_region);
   heartbeat.strikes = announced_strikes(state, now);
--- a/src/fleet/quarantine_record.cc
+++ b/src/fleet/quarantine_record.cc
@@ -54,7 +54,8 @@
   on_strikes(state, read.strikes, now);
   QuarantineRecordState& record = state.quarantine_record;
   if (!record.call_open) return;  // Listed at the start.
-  if (!read.answered) return call_again_later(record, now);
+  if (!read.answered || read.read_in < current_era(state))
+    return call_again_later(record, now);
   std::vector<Strike> strikes = strikes_to_record(state, now);
   bool complete = std::all_of(
       strikes.begin(), strikes.end(),
--- a/src/fleet/reduce.cc
+++ b/src/fleet/reduce.cc
@@ -10,6 +10,7 @@
 #include "fleet/quarantine_record.h"
 #include "fleet/registry.h"
 #include "fleet/requests.h"
+#include "fleet/store_restoration.h"
 #include "fleet/store_view.h"
 #include "fleet/zone_relay.h"
 
@@ -45,6 +46,7 @@
   expire_loads(state, now);
   check_overload(state, now);
   tick_store_view(state, now, effects);
+  tick_evacuations(state, now, effects);
   tick_ownership(state, now, effects);
   tick_requests(state, now, effects);
   tick_quarantine_record(state, now, effects);
@@ -82,6 +84,10 @@
   Effects effects;
   std::visit(
       Overloaded{
+          [&](const StoreEraSeen& e) { on_store_era(state, e, now, effects); },
+          [&](const EarlierEraAnswered& e) {
+            on_earlier_era(state, e, effects);
+          },
           [&](const ConfigurationSeen& e) {
             adopt_configuration(state, e, now, effects);
           },
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -116,7 +116,7 @@
                        Effects& effects) {
   // A list that is older than changes already applied is ignored.
   auto view = state.views.find(StoreView::kServers);
-  if (listed.as_of.value > 0 && view != state.views.end() &&
+  if (listed.as_of.revision.value > 0 && view != state.views.end() &&
       listed.as_of < view->second.as_of) {
     return;
   }
--- a/src/fleet/replan.cc
+++ b/src/fleet/replan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "fleet/cold_servers.h"
 #include "fleet/election.h"
@@ -9,6 +10,7 @@
 #include "fleet/learning.h"
 #include "fleet/leases.h"
 #include "fleet/log_event.h"
+#include "fleet/ownership.h"
 #include "fleet/peers.h"
 #include "fleet/placement.h"
 #include "fleet/regions.h"
@@ -211,6 +213,14 @@
   return true;
 }
 
+/// Ends the wait for grants that the store has lost.
+bool forget_lost_grants(MapState& map, OwnerMap& next, TimePoint now) {
+  CoordinatorRole& role = *map.coordinator_role;
+  if (role.lost_grants_until && now < *role.lost_grants_until) return false;
+  role.lost_grants_until.reset();
+  return std::exchange(next.grants_lost, false);
+}
+
 /// Assigns a new epoch to ranges whose owner has refused the current one as too
 /// low.
 bool raise_fenced_epochs(const MapState& map, OwnerMap& next) {
@@ -464,21 +474,64 @@
   map.coordinator = state.settings.self.name;
   map.coordinator_incarnation = state.settings.self.incarnation;
   map.term = TermEpoch(1);
-  map.last_epoch = Epoch(1);
+  // Epochs of a map that the store has lost are not given out again.
+  map.last_epoch = Epoch(1 + current_era(state).value * config::kEpochsPerEra);
   map.ranges = initial_ranges(servers, map.last_epoch);
   return map;
 }
 
-OwnerMap take_over_map(const State& state, const OwnerMap& map) {
-  OwnerMap next = map;
+namespace {
+
+/// Raises the term and the last epoch above all that may have been given out
+/// since the store's copy was taken.
+void raise_after_loss(const State& state, std::uint64_t steps_per_era,
+                      OwnerMap& next) {
+  std::uint64_t steps =
+      steps_per_era * (current_era(state).value - next.era.value);
+  next.term = TermEpoch(next.term.value + steps * config::kEpochsPerEra);
+  next.last_epoch =
+      Epoch(next.last_epoch.value + steps * config::kEpochsPerEra);
+}
+
+/// Whether this daemon knew the last changes before the store lost them. Their
+/// owners may then be renewed at their epochs: one that has released its keys
+/// since refuses, and without a release no key moves within a grant's duration.
+bool knows_lost_owners(const MapState& map, TimePoint now) {
+  return map.known_before_restoration && !map.behind_since &&
+         !map.map->grants_lost &&
+         now - map.coordinator_heartbeat_at < config::kGrantHold;
+}
+
+}  // namespace
+
+OwnerMap map_after_loss(const State& state, const MapState& map,
+                        TimePoint now) {
+  OwnerMap next = *map.map;
+  raise_after_loss(state, 1, next);
+  const auto& until = map.coordinator_role->lost_grants_until;
+  next.grants_lost = until.has_value() && now < *until;
+  return next;
+}
+
+OwnerMap take_over_map(const State& state, const MapState& map, TimePoint now) {
+  OwnerMap next = *map.map;
   next.coordinator = state.settings.self.name;
   next.coordinator_incarnation = state.settings.self.incarnation;
-  next.term = map.term.next();
-  next.last_epoch = map.last_epoch.next();
-  for (KeyRange& range : next.ranges) range.epoch = next.last_epoch;
+  bool lost = is_lost(state, map);
+  if (lost) {
+    // Also above a coordinator of this era whose map was replaced by a late
+    // write of an earlier one.
+    raise_after_loss(state, 2, next);
+    next.grants_lost = true;
+  }
+  next.term = next.term.next();
+  next.last_epoch = next.last_epoch.next();
+  if (!lost || !knows_lost_owners(map, now)) {
+    for (KeyRange& range : next.ranges) range.epoch = next.last_epoch;
+  }
   join_neighbours(next.ranges);
   auto& replaced = next.replaced_coordinators;
-  replaced.push_back(coordinator_of(map));
+  replaced.push_back(coordinator_of(*map.map));
   std::erase_if(replaced, [&](const DaemonIncarnation& daemon) {
     return daemon == coordinator_of(next) || has_ended(state, daemon);
   });
@@ -490,9 +543,12 @@
   OwnerMap next = *map.map;
   bool changed = finish_completed_moves(map, next);
   changed = drop_ended_predecessors(map, next, now) || changed;
+  changed = forget_lost_grants(map, next, now) || changed;
   changed = raise_fenced_epochs(map, next) || changed;
   changed = reassign_lost_ranges(state, service, next, now, effects) || changed;
-  changed = rebalance(state, service, map, next, now, effects) || changed;
+  // Keys that move would have no owner until lost grants have ended.
+  if (!map.coordinator_role->lost_grants_until)
+    changed = rebalance(state, service, map, next, now, effects) || changed;
   if (!changed) return std::nullopt;
   join_neighbours(next.ranges);
   return next;
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -30,6 +30,8 @@
   /// that share, also for all daemons together.
   std::uint32_t retry_slack = 60;
   Duration retry_window = seconds(10);
+  /// Interval at which a server's entry in the registry is renewed.
+  Duration registry_check_in = seconds(1);
   /// Time from an operator's order to evacuate a zone until its servers must be
   /// sent nothing more; empty: no such orders are given.
   std::optional<Duration> evacuation_time;
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -221,6 +221,18 @@
   /// Coordinators of earlier terms that are not known to have stopped sending
   /// orders.
   std::vector<DaemonIncarnation> predecessors;
+  /// Until when servers may hold keys by grants that this coordinator does not
+  /// know, because the store has lost them; empty if there are none.
+  std::optional<TimePoint> lost_grants_until;
+  /// Daemons that may have made such grants, and may still renew them.
+  std::vector<DaemonIncarnation> lost_coordinators;
+  /// Whether one of them may have, although none renews them any more.
+  bool grants_may_be_lost = false;
+  /// The term before the loss, as far as this daemon knows.
+  TermEpoch term_before_loss;
+  /// Epochs up to this one are older than the loss. Their grants may be
+  /// renewed, as a server that has seen a later one refuses them.
+  Epoch last_epoch_before_loss;
   TimePoint started_at;      ///< When this daemon took the role.
   TimePoint last_placement;  ///< Time of the last placement round.
   bool hot_rounds = false;   ///< Has had a round with an overloaded server.
@@ -233,16 +245,26 @@
 /// The owner map of one service, and this daemon's reads and writes of it.
 struct MapState {
   std::optional<OwnerMap> map;  ///< As last read or written.
-  Version revision;
+  /// At which this version of the map was written. Versions are compared by it.
+  StorePosition position;
+  /// What the store holds: the revision of its record, 0 if it has none, and
+  /// the era in which that was read. Only used as the condition of a write: a
+  /// store that has been restored may hold an older version than `map`.
+  StorePosition stored;
   bool absent = false;                    ///< The store has no map.
   std::optional<OwnerMap> pending_write;  ///< A write without outcome yet.
-  TimePoint next_write;                   ///< No write is sent before.
+  std::uint64_t write_number = 0;         ///< Of the last write.
+  /// This version of the map was known when the store was restored, so that it
+  /// does not come from the copy.
+  bool known_before_restoration = false;
+  TimePoint next_write;            ///< No write is sent before.
   bool resend_write = false;       ///< The pending write has to be sent again.
   bool write_may_be_done = false;  ///< It went unanswered once.
   /// No order is sent until the store has confirmed the map again.
   bool must_verify = false;
   TimePoint next_read;     ///< No read is sent before.
   TermEpoch highest_term;  ///< Highest term that any daemon has named.
+  TermEpoch coordinated;   ///< The last term of this daemon as coordinator.
   /// Last heartbeat of the coordinator, or start of its term.
   TimePoint coordinator_heartbeat_at;
   /// Since when another daemon has had a newer map.
@@ -361,9 +383,9 @@
 
 /// How current this daemon's copy of one part of the store is.
 struct ViewState {
-  Version as_of;          ///< Complete up to this revision.
-  Version last_change;    ///< Revision of the last change.
-  TimePoint answered_at;  ///< When the store last answered a read of it.
+  StorePosition as_of;        ///< Complete up to this position.
+  StorePosition last_change;  ///< Of the last change.
+  TimePoint answered_at;      ///< When the store last answered a read of it.
   /// Since when the zone's relay has had a newer copy.
   std::optional<TimePoint> behind_since;
 };
@@ -393,8 +415,11 @@
   /// Zones whose servers are not to own keys, by keyed service; see
   /// index_regions().
   std::map<ServiceName, std::set<ZoneName>> unsuited_zones;
-  /// Zones whose evacuation is ordered.
+  /// Zones whose evacuation is ordered, or was when the store was restored a
+  /// moment ago.
   std::set<ZoneName> evacuated_zones;
+  /// Zones whose evacuation the store lists.
+  std::set<ZoneName> listed_evacuations;
   FleetState fleet;
   std::map<ServiceName, MapState> maps;
   PendingOrders orders;
@@ -433,6 +458,11 @@
   /// the changes.
   bool watching = true;
   Duration watch_wait{0};
+  /// As the store last stated it; empty if it has stated none.
+  std::optional<StoreEra> store_era;
+  TimePoint resumed_at;  ///< End of the last long pause of the process.
+  /// When the last restoration of the store was noticed.
+  std::optional<TimePoint> restored_at;
   bool store_has_answered = false;  ///< Since the start.
   TimePoint store_answered_at;  ///< Last answer; the start before the first.
   TimePoint store_failed_at;    ///< Last call without an answer.
@@ -443,6 +473,8 @@
   std::uint64_t tie_breaker = 0;  ///< Changes with each choice; see choose().
 };
 
+/// The era of the store, 0 if it has stated none.
+StoreEra current_era(const State& state);
 /// Whether this daemon should be sent new connections.
 bool is_ready(const State& state);
 /// Requests received and not yet answered.
--- a/src/fleet/store_view.cc
+++ b/src/fleet/store_view.cc
@@ -29,16 +29,21 @@
   const Heartbeat& heartbeat = peer.heartbeat;
   if (!heartbeat.view || heartbeat.store_unreachable_for.count() > 0)
     return nullptr;
+  // One of the two has not noticed yet that the store was restored.
+  if (heartbeat.store_era && *heartbeat.store_era != current_era(state))
+    return nullptr;
   Duration age = heartbeat.view->age + (now - peer.received_at);
   return age <= config::kMaxRelayViewAge ? &peer : nullptr;
 }
 
 bool any_view_unread(const State& state) {
-  return std::any_of(
-      kStoreViews.begin(), kStoreViews.end(), [&](StoreView view) {
-        auto found = state.views.find(view);
-        return found == state.views.end() || found->second.as_of.value == 0;
-      });
+  return std::any_of(kStoreViews.begin(), kStoreViews.end(),
+                     [&](StoreView view) {
+                       auto found = state.views.find(view);
+                       return found == state.views.end() ||
+                              found->second.as_of.revision.value == 0 ||
+                              found->second.as_of.era < current_era(state);
+                     });
 }
 
 void apply_changes(State& state, const StoreUpdate& update, TimePoint now,
@@ -64,7 +69,7 @@
               Effects& effects) {
   for (StoreView kind : kStoreViews) {
     ViewState& view = state.views[kind];
-    Version changed =
+    StorePosition changed =
         kind == StoreView::kConfiguration ? relay.configuration : relay.servers;
     if (changed <= view.as_of) {
       view.behind_since.reset();
@@ -75,8 +80,8 @@
       effects.emplace_back(CatchUp{kind, view.as_of});
       log_event(effects, "store_view_behind",
                 {{"view", text(static_cast<std::uint64_t>(kind))},
-                 {"as_of", text(view.as_of.value)},
-                 {"relay_changed", text(changed.value)}});
+                 {"as_of", text(view.as_of)},
+                 {"relay_changed", text(changed)}});
     }
   }
 }
@@ -125,6 +130,7 @@
 void on_store_changed(State& state, const StoreChanged& changed, TimePoint now,
                       Effects& effects) {
   StoreUpdate update = changed.update;
+  update.states_era = state.store_era.has_value();
   if (update.view == StoreView::kEvacuations)
     return on_evacuations_changed(state, update, now, effects);
   ViewState& view = state.views[update.view];
@@ -149,7 +155,9 @@
 
 void on_store_update(State& state, const StoreUpdateReceived& received,
                      TimePoint now, Effects& effects) {
-  const StoreUpdate& update = received.update;
+  StoreUpdate update = received.update;
+  if (!update.states_era)
+    update.base.era = update.as_of.era = current_era(state);
   ViewState& view = state.views[update.view];
   // An update with a newer base is ignored; the copy is then found outdated and
   // refreshed from the store.
@@ -168,10 +176,10 @@
   if (watch != state.watching || wait != state.watch_wait) {
     if (watch != state.watching) {
       auto relay = own_relay(state, now);
-      log_event(effects, watch ? "store_watched" : "store_followed",
-                {{"relay", relay ? relay->str() : "-"},
-                 {"servers_as_of",
-                  text(state.views[StoreView::kServers].as_of.value)}});
+      log_event(
+          effects, watch ? "store_watched" : "store_followed",
+          {{"relay", relay ? relay->str() : "-"},
+           {"servers_as_of", text(state.views[StoreView::kServers].as_of)}});
     }
     state.watching = watch;
     state.watch_wait = wait;
@@ -197,12 +205,14 @@
       configuration.last_change,
       servers.last_change,
       now - std::min(configuration.answered_at, servers.answered_at),
-      Version(),
+      StorePosition(),
       {}};
-  if (state.settings.evacuation_time && evacuations_known(state)) {
-    view.evacuations = state.views.at(StoreView::kEvacuations).last_change;
-    view.evacuated_zones = {state.evacuated_zones.begin(),
-                            state.evacuated_zones.end()};
+  auto evacuations = state.views.find(StoreView::kEvacuations);
+  if (state.settings.evacuation_time && evacuations_known(state) &&
+      evacuations->second.as_of.era == current_era(state)) {
+    view.evacuations = evacuations->second.last_change;
+    view.evacuated_zones = {state.listed_evacuations.begin(),
+                            state.listed_evacuations.end()};
   }
   return view;
 }
--- a/src/io/fleet_ports.h
+++ b/src/io/fleet_ports.h
@@ -56,6 +56,8 @@
   std::vector<StoredObject> objects;
   bool has_more = false;  ///< The list continues after the last name.
   Version as_of;          ///< Revision of the store that the page reflects.
+  /// Era of the store that gave the page; empty if it states none.
+  std::optional<StoreEra> era;
 };
 
 enum class StoreFailureKind : std::uint8_t {
@@ -69,11 +71,18 @@
 struct StoreFailure {
   StoreFailureKind kind = StoreFailureKind::kNoAnswer;
   std::string why;
+  /// Era that the answer states, if there is one.
+  std::optional<StoreEra> era;
+};
+
+/// An object that has been written.
+struct RecordWritten {
+  Version revision;
+  std::optional<StoreEra> era;  ///< Of the store; empty if it states none.
 };
 
 using PageResult = std::variant<ObjectPage, StoreFailure>;
-/// The object's new revision.
-using ChangeResult = std::variant<Version, StoreFailure>;
+using ChangeResult = std::variant<RecordWritten, StoreFailure>;
 
 /// The platform's store. Each call ends in exactly one callback. The platform
 /// charges for each call.
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -252,6 +252,7 @@
           },
           [this](const fleet::WatchStore& e) { store_feed_.set_watch(e); },
           [this](const fleet::CatchUp& e) { store_feed_.catch_up(e); },
+          [this](const fleet::ReadStoreAgain&) { store_feed_.read_again(); },
           [this](const fleet::WriteMap& e) { store_feed_.write_map(e); },
           [this](const fleet::ReadMap& e) { store_feed_.read_map(e.service); },
           [this](const fleet::ReadQuarantineRecord&) {
@@ -479,6 +480,10 @@
                     {"fleet_orders_in_flight",
                      "Grants and releases without an answer yet",
                      static_cast<double>(fleet::orders_in_flight(state_))},
+                    {"fleet_store_era",
+                     "How often the store has been restored from a copy, as it "
+                     "states",
+                     static_cast<double>(fleet::current_era(state_).value)},
                     {"fleet_ranges_visited",
                      "Key ranges looked at for orders that are due, in total",
                      static_cast<double>(state_.ranges_visited)},
--- a/src/io/store_feed.cc
+++ b/src/io/store_feed.cc
@@ -76,6 +76,19 @@
   return WriteOutcome::kUnknown;
 }
 
+const std::optional<StoreEra>& stated_era(const PageResult& result) {
+  const auto* page = std::get_if<ObjectPage>(&result);
+  return page == nullptr ? std::get<StoreFailure>(result).era : page->era;
+}
+
+const std::optional<StoreEra>& stated_era(const ChangeResult& result) {
+  const auto* written = std::get_if<RecordWritten>(&result);
+  return written == nullptr ? std::get<StoreFailure>(result).era : written->era;
+}
+
+const StoreFailure kEarlierEra{StoreFailureKind::kNoAnswer,
+                               "answer of an earlier era", std::nullopt};
+
 WallTime wall_now() {
   return std::chrono::time_point_cast<Duration>(
       std::chrono::system_clock::now());
@@ -120,6 +133,24 @@
   return kinds;
 }
 
+bool StoreFeed::accept_era(const std::optional<StoreEra>& stated) {
+  if (!stated || stated == era_) return true;
+  if (era_ && *stated < *era_) {
+    sink_(fleet::EarlierEraAnswered{*stated});
+    return false;
+  }
+  era_ = stated;
+  sink_(fleet::StoreEraSeen{*stated});
+  return true;
+}
+
+void StoreFeed::read_again() {
+  for (ObjectKind kind : watched_kinds()) list(kind, {});
+  list(ObjectKind::kRecords, {});
+  register_daemon();
+  schedule_relist();
+}
+
 void StoreFeed::schedule_relist() {
   relist_timer_.expires_after(kDaemonRelistDelay);
   relist_timer_.async_wait([this](const boost::system::error_code& failed) {
@@ -128,14 +159,21 @@
 }
 
 void StoreFeed::list(ObjectKind kind, const std::string& after) {
-  if (after.empty()) state_of(kind).listed.clear();
-  state_of(kind).busy = true;
-  store_.list(kind, after, [this, kind](PageResult result) {
-    on_page(kind, std::move(result));
-  });
+  KindState& state = state_of(kind);
+  if (after.empty()) state.listed.clear();
+  state.busy = true;
+  state.timer.cancel();
+  store_.list(kind, after,
+              [this, kind, call = ++state.call](PageResult result) {
+                on_page(kind, call, std::move(result));
+              });
 }
 
-void StoreFeed::on_page(ObjectKind kind, PageResult result) {
+void StoreFeed::on_page(ObjectKind kind, std::uint64_t call,
+                        PageResult result) {
+  bool current = accept_era(stated_era(result));
+  if (call != state_of(kind).call) return;
+  if (!current) return retry(kind, kEarlierEra, true);
   if (const auto* failure = std::get_if<StoreFailure>(&result)) {
     return retry(kind, *failure, true);
   }
@@ -144,7 +182,7 @@
   KindState& state = state_of(kind);
   // The watch starts at the revision of the first page, so it also returns
   // changes made between two pages.
-  if (state.listed.empty()) state.as_of = page.as_of;
+  if (state.listed.empty()) state.as_of = {era(), page.as_of};
   std::string last;  // An unreadable object may have no name.
   for (const StoredObject& object : page.objects) {
     if (!object.name.empty()) last = object.name;
@@ -197,6 +235,7 @@
   KindState& state = state_of(kind);
   state.busy = watching_;
   if (!watching_) return;
+  if (state.as_of.era < era()) return list(kind, {});
   Duration wait = kind == ObjectKind::kEvacuations
                       ? fleet::config::kEvacuationWatchWait
                       : watch_wait_;
@@ -207,11 +246,11 @@
   watching_ = watch.on;
   watch_wait_ = watch.wait;
   if (!watching_) return;
-  Version& configuration = state_of(ObjectKind::kConfiguration).as_of;
+  auto& configuration = state_of(ObjectKind::kConfiguration).as_of;
   configuration = std::max(configuration, watch.configuration_as_of);
-  Version& servers = state_of(ObjectKind::kServers).as_of;
+  auto& servers = state_of(ObjectKind::kServers).as_of;
   servers = std::max(servers, watch.servers_as_of);
-  Version& evacuations = state_of(ObjectKind::kEvacuations).as_of;
+  auto& evacuations = state_of(ObjectKind::kEvacuations).as_of;
   evacuations = std::max(evacuations, watch.evacuations_as_of);
   for (ObjectKind kind : watched_kinds()) {
     if (!state_of(kind).busy) continue_watching(kind);
@@ -230,12 +269,18 @@
 void StoreFeed::watch(ObjectKind kind, Duration wait) {
   KindState& state = state_of(kind);
   state.busy = true;
-  store_.watch(kind, state.as_of, wait, [this, kind](PageResult result) {
-    on_changes(kind, std::move(result));
-  });
+  state.timer.cancel();
+  store_.watch(kind, state.as_of.revision, wait,
+               [this, kind, call = ++state.call](PageResult result) {
+                 on_changes(kind, call, std::move(result));
+               });
 }
 
-void StoreFeed::on_changes(ObjectKind kind, PageResult result) {
+void StoreFeed::on_changes(ObjectKind kind, std::uint64_t call,
+                           PageResult result) {
+  bool current = accept_era(stated_era(result));
+  if (call != state_of(kind).call) return;
+  if (!current) return retry(kind, kEarlierEra, false);
   if (const auto* failure = std::get_if<StoreFailure>(&result)) {
     return retry(kind, *failure,
                  failure->kind == StoreFailureKind::kHistoryGone);
@@ -244,7 +289,7 @@
   const auto& page = std::get<ObjectPage>(result);
   KindState& state = state_of(kind);
   state.failures = 0;
-  state.as_of = std::max(state.as_of, page.as_of);
+  state.as_of = std::max(state.as_of, {era(), page.as_of});
   sink_(fleet::StoreChanged{store_update_of(kind, page)});
   if (page.objects.empty()) return continue_watching(kind);
   state.timer.expires_after(kWatchPause);
@@ -259,8 +304,7 @@
   ++state.failures;
   if (failure.kind == StoreFailureKind::kHistoryGone) {
     log_line(LogLevel::kWarning,
-             {{"event", "store_history_gone"},
-              {"as_of", std::to_string(state.as_of.value)}});
+             {{"event", "store_history_gone"}, {"as_of", text(state.as_of)}});
   } else {
     sink_(fleet::StoreFailed{failure.why});
   }
@@ -277,7 +321,7 @@
                                               const ObjectPage& page) {
   fleet::StoreUpdate update;
   update.view = *store_view_of(kind);
-  update.as_of = page.as_of;
+  update.as_of = {era(), page.as_of};
   for (const StoredObject& object : page.objects) {
     if (kind == ObjectKind::kEvacuations) {
       // Its existence is the order, whatever it contains.
@@ -335,9 +379,9 @@
               {"why", error.message}});
   };
   if (object.name.starts_with(kMapPrefix)) {
-    auto map = codec::decode_owner_map(record.text);
+    auto map = codec::decode_owner_map(record.text, era());
     if (!ok(map)) return unreadable(error(map));
-    return sink_(fleet::MapSeen{value(map), object.revision});
+    return sink_(fleet::MapSeen{value(map), object.revision, era()});
   }
   if (object.name.starts_with(kDaemonPrefix)) {
     auto daemon = codec::decode_daemon(record.text);
@@ -350,15 +394,16 @@
     // A record that cannot be read is replaced at the next write.
     sink_(fleet::QuarantineRecordRead{
         true, object.revision,
-        ok(strikes) ? value(strikes) : std::vector<fleet::Strike>()});
+        ok(strikes) ? value(strikes) : std::vector<fleet::Strike>(), era()});
   }
 }
 
 void StoreFeed::write_map(const fleet::WriteMap& write) {
   std::string name = map_record_name(write.map.service);
   std::string text = codec::encode_owner_map(write.map);
-  auto done = [this, service = write.map.service](const ChangeResult& result) {
-    emit_write_result(service, result);
+  auto done = [this, service = write.map.service,
+               number = write.number](const ChangeResult& result) {
+    emit_write_result(service, number, result);
   };
   if (write.expected.value == 0) {
     store_.create_record(name, text, done);
@@ -368,16 +413,24 @@
 }
 
 void StoreFeed::emit_write_result(const ServiceName& service,
+                                  std::uint64_t number,
                                   const ChangeResult& result) {
-  const auto* revision = std::get_if<Version>(&result);
-  if (revision != nullptr) sink_(fleet::StoreAnswered());
-  sink_(fleet::MapWriteEnded{service, write_outcome(result),
-                             revision == nullptr ? Version() : *revision});
+  fleet::MapWriteEnded ended{service, number, write_outcome(result), {}};
+  const auto* written = std::get_if<RecordWritten>(&result);
+  if (!accept_era(stated_era(result))) {
+    ended.outcome = fleet::WriteOutcome::kUnknown;
+  } else if (written != nullptr) {
+    sink_(fleet::StoreAnswered());
+    ended.position = {era(), written->revision};
+  }
+  sink_(ended);
 }
 
 void StoreFeed::read_map(const ServiceName& service) {
   store_.read(ObjectKind::kRecords, map_record_name(service),
               [this, service](const PageResult& result) {
+                if (!accept_era(stated_era(result)))
+                  return sink_(fleet::StoreFailed{kEarlierEra.why});
                 if (const auto* page = std::get_if<ObjectPage>(&result)) {
                   sink_(fleet::StoreAnswered());
                   for (const StoredObject& object : page->objects) emit(object);
@@ -386,38 +439,46 @@
                 const auto& failure = std::get<StoreFailure>(result);
                 if (failure.kind == StoreFailureKind::kMissing) {
                   sink_(fleet::StoreAnswered());
-                  return sink_(fleet::MapMissing{service});
+                  return sink_(fleet::MapMissing{service, era()});
                 }
                 sink_(fleet::StoreFailed{failure.why});
               });
 }
 
 void StoreFeed::read_quarantine_record() {
-  store_.read(ObjectKind::kRecords, kQuarantineRecord,
-              [this](const PageResult& result) {
-                const auto* page = std::get_if<ObjectPage>(&result);
-                if (page != nullptr && !page->objects.empty()) {
-                  sink_(fleet::StoreAnswered());
-                  return emit(page->objects.front());
-                }
-                const auto* failure = std::get_if<StoreFailure>(&result);
-                bool missing = failure == nullptr ||
-                               failure->kind == StoreFailureKind::kMissing;
-                if (missing) {
-                  sink_(fleet::StoreAnswered());
-                } else {
-                  sink_(fleet::StoreFailed{failure->why});
-                }
-                sink_(fleet::QuarantineRecordRead{missing, Version(), {}});
-              });
+  store_.read(
+      ObjectKind::kRecords, kQuarantineRecord,
+      [this](const PageResult& result) {
+        if (!accept_era(stated_era(result))) {
+          sink_(fleet::StoreFailed{kEarlierEra.why});
+          return sink_(fleet::QuarantineRecordRead{});
+        }
+        const auto* page = std::get_if<ObjectPage>(&result);
+        if (page != nullptr && !page->objects.empty()) {
+          sink_(fleet::StoreAnswered());
+          return emit(page->objects.front());
+        }
+        const auto* failure = std::get_if<StoreFailure>(&result);
+        bool missing =
+            failure == nullptr || failure->kind == StoreFailureKind::kMissing;
+        if (missing) {
+          sink_(fleet::StoreAnswered());
+        } else {
+          sink_(fleet::StoreFailed{failure->why});
+        }
+        sink_(fleet::QuarantineRecordRead{missing, Version(), {}, era()});
+      });
 }
 
 void StoreFeed::write_quarantine_record(
     const fleet::WriteQuarantineRecord& write) {
   std::string text = codec::encode_strikes(write.strikes, wall_now());
   auto done = [this](const ChangeResult& result) {
-    if (std::holds_alternative<Version>(result)) sink_(fleet::StoreAnswered());
-    sink_(fleet::QuarantineRecordWritten{write_outcome(result)});
+    bool current = accept_era(stated_era(result));
+    if (current && std::holds_alternative<RecordWritten>(result))
+      sink_(fleet::StoreAnswered());
+    sink_(fleet::QuarantineRecordWritten{
+        current ? write_outcome(result) : fleet::WriteOutcome::kUnknown});
   };
   if (write.expected.value == 0) {
     store_.create_record(kQuarantineRecord, text, done);
@@ -460,7 +521,7 @@
   if (record != nullptr && record->text == text) return;
   store_.replace_record(
       current.name, current.revision, text, [this](const ChangeResult& result) {
-        if (std::holds_alternative<Version>(result)) return;
+        if (std::holds_alternative<RecordWritten>(result)) return;
         registration_timer_.expires_after(kRegistrationRetryDelay);
         registration_timer_.async_wait(
             [this](const boost::system::error_code& failed) {
--- a/tests/evacuations_test.cc
+++ b/tests/evacuations_test.cc
@@ -3,6 +3,7 @@
 #include "fleet/store_view.h"
 #include "tests/fleet_requests.h"
 #include "tests/fleet_world.h"
+#include "tests/store_positions.h"
 
 /// Zones whose servers are to be sent nothing.
 namespace eelgrasspin::fleet {
@@ -17,12 +18,12 @@
     add("there", kDesk, "far");
   }
   void list(std::vector<ZoneName> zones, std::uint64_t as_of) {
-    apply(EvacuationsListed{std::move(zones), Version(as_of)});
+    apply(EvacuationsListed{std::move(zones), at(as_of)});
   }
   void change(const char* zone, bool ordered, std::uint64_t as_of) {
     StoreUpdate update;
     update.view = StoreView::kEvacuations;
-    update.as_of = Version(as_of);
+    update.as_of = at(as_of);
     update.evacuations = {{ZoneName(zone), ordered}};
     apply(StoreChanged{update});
   }
@@ -90,12 +91,12 @@
 TEST_F(Evacuations, FollowersAdoptTheRelaysList) {
   list({}, 5);
   Heartbeat::View relay;
-  relay.evacuations = Version(9);
+  relay.evacuations = at(9);
   relay.evacuated_zones = {ZoneName("z")};
   Effects effects;
   follow_evacuations(state_, relay, now_, effects);
   EXPECT_EQ(target(1), ServerName("there"));
-  relay.evacuations = Version(4);  // Of a relay that is behind.
+  relay.evacuations = at(4);  // Of a relay that is behind.
   relay.evacuated_zones.clear();
   follow_evacuations(state_, relay, now_, effects);
   EXPECT_EQ(target(2), ServerName("there"));
@@ -113,7 +114,7 @@
   ASSERT_TRUE(world.all_held());
   StoreUpdate update;
   update.view = StoreView::kEvacuations;
-  update.as_of = Version(1000);
+  update.as_of = at(1000);
   update.evacuations = {{FleetWorld::zone(1), true}};
   for (std::size_t i = 0; i < world.daemons(); ++i)
     world.post(i, StoreChanged{update});
--- a/tests/fleet_messages_test.cc
+++ b/tests/fleet_messages_test.cc
@@ -5,14 +5,15 @@
 #include <cmath>
 
 #include "codec/fleet_json.h"
+#include "tests/store_positions.h"
 
 namespace eelgrasspin::codec {
 namespace {
 
 fleet::StoreUpdate update_of_servers() {
   fleet::StoreUpdate update;
-  update.base = Version(7);
-  update.as_of = Version(12);
+  update.base = fleet::at(7);
+  update.as_of = fleet::at(12);
   fleet::Server server{ServerName("s1"),
                        Endpoint("10.1.0.1:9"),
                        ServiceName("board"),
@@ -45,7 +46,7 @@
   configuration->limits = {16'384, 1'000'000, seconds(3), seconds(15)};
   fleet::StoreUpdate update;
   update.view = fleet::StoreView::kConfiguration;
-  update.as_of = Version(12);
+  update.as_of = fleet::at(12);
   update.configuration = configuration;
   update.configuration_revision = Version(11);
   return update;
@@ -60,8 +61,8 @@
 TEST(FleetMessages, ServersKeepTheOrderOfTheirChanges) {
   fleet::StoreUpdate read = read_back(update_of_servers());
   EXPECT_EQ(read.view, fleet::StoreView::kServers);
-  EXPECT_EQ(read.base, Version(7));
-  EXPECT_EQ(read.as_of, Version(12));
+  EXPECT_EQ(read.base, fleet::at(7));
+  EXPECT_EQ(read.as_of, fleet::at(12));
   ASSERT_EQ(read.servers.size(), 3u);
   const auto& server = std::get<fleet::Server>(read.servers[0]);
   EXPECT_EQ(server.name, ServerName("s1"));
@@ -118,7 +119,7 @@
                       RegionName("r"),  Endpoint("10.0.0.1:7"), 500};
   heartbeat.age = milliseconds(120);
   heartbeat.view =
-      fleet::Heartbeat::View{Version(3), Version(4), milliseconds(250)};
+      fleet::Heartbeat::View{fleet::at(3), fleet::at(4), milliseconds(250)};
   batch.heartbeats = {heartbeat, heartbeat};
   auto decoded = decode_datagram(encode_heartbeat_batch(batch));
   ASSERT_TRUE(ok(decoded));
@@ -128,7 +129,7 @@
   EXPECT_EQ(read.heartbeats[1].daemon, heartbeat.daemon);
   EXPECT_EQ(read.heartbeats[1].age, milliseconds(120));
   ASSERT_TRUE(read.heartbeats[1].view.has_value());
-  EXPECT_EQ(read.heartbeats[1].view->servers, Version(4));
+  EXPECT_EQ(read.heartbeats[1].view->servers, fleet::at(4));
 }
 
 /// Mutated messages neither crash the decoder nor yield values that could not
@@ -162,13 +163,13 @@
   fleet::Heartbeat heartbeat;
   heartbeat.daemon.name = DaemonName("d");
   heartbeat.view = fleet::Heartbeat::View{
-      Version(3), Version(4), seconds(1), Version(5), {ZoneName("z")}};
+      fleet::at(3), fleet::at(4), seconds(1), fleet::at(5), {ZoneName("z")}};
   heartbeat.unreachable_servers = {{ServerName("s"), Incarnation(7)}};
   auto read = decode_datagram(encode_heartbeat(heartbeat));
   ASSERT_TRUE(ok(read));
   const auto& got = std::get<fleet::Heartbeat>(value(read));
   ASSERT_TRUE(got.view);
-  EXPECT_EQ(got.view->evacuations, Version(5));
+  EXPECT_EQ(got.view->evacuations, fleet::at(5));
   EXPECT_EQ(got.view->evacuated_zones, heartbeat.view->evacuated_zones);
   EXPECT_EQ(got.unreachable_servers, heartbeat.unreachable_servers);
 }
--- a/tests/fleet_placement_test.cc
+++ b/tests/fleet_placement_test.cc
@@ -7,6 +7,7 @@
 
 #include "fleet/hot_keys.h"
 #include "fleet/placement.h"
+#include "tests/store_positions.h"
 
 namespace eelgrasspin::fleet {
 namespace {
@@ -257,7 +258,7 @@
            Epoch(first + 2));
   }
   join_neighbours(after.ranges);
-  MapChange change = change_between(before, Version(1), after, Version(2));
+  MapChange change = change_between(before, at(1), after, at(2));
   auto rebuilt = apply_change(before, change);
   RC_ASSERT(rebuilt.has_value());
   RC_ASSERT(rebuilt->ranges == after.ranges);
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -46,6 +46,7 @@
   double grant_unanswered = 0;  ///< Share of grants done late and not answered.
   double grant_lost = 0;        ///< Share of orders that never arrive.
   double write_unanswered = 0;  ///< Share of writes done but not answered.
+  double write_late = 0;  ///< Share of writes done seconds later, if then.
   double heartbeat_lost = 0;
 };
 
@@ -101,11 +102,16 @@
   TimePoint now() const { return now_; }
   FleetFaults faults;
   bool store_up = true;
+  /// Stated by the store in its answers; empty: it states none.
+  std::optional<StoreEra> store_era;
   /// Pairs of daemons that receive no messages of each other.
   std::set<std::pair<std::size_t, std::size_t>> cut_links;
   std::set<std::size_t> cut_from_store;
   /// Pairs of a daemon and a server that it cannot reach.
   std::set<std::pair<std::size_t, std::size_t>> cut_from_servers;
+  /// Adds a line to `violations` for a key that arrives at a server with an
+  /// epoch that is not above all with which other servers had it.
+  bool check_epochs = false;
   /// A line for each time that two servers held a key at once.
   std::vector<std::string> violations;
   /// Called when a daemon sends a request to a server.
@@ -117,6 +123,7 @@
   /// Called when a daemon sends an order to a server.
   std::function<void(const GrantKeys&)> on_grant;
   std::function<void(const ReleaseKeys&)> on_release;
+  std::function<void(std::size_t daemon, const LogEvent&)> on_log;
   /// Map writes that the store has carried out.
   std::size_t map_writes = 0;
   /// Heartbeats and batches sent so far, counted once per receiver.
@@ -243,7 +250,7 @@
   void put_map(const OwnerMap& map) {
     map_ = map;
     revision_ = Version(revision_.value + 1);
-    each_daemon_with_store(MapSeen{*map_, revision_});
+    each_daemon_with_store(MapSeen{*map_, revision_, era()});
   }
   /// Cuts all daemons off from the store.
   void stop_store() {
@@ -258,17 +265,23 @@
   }
   /// Keeps a copy of the store's records for restore_copy().
   void take_copy() {
-    copy_ = {map_, revision_, quarantine_record_, quarantine_recorded_at_,
-             quarantine_revision_};
+    copy_ = {map_,
+             revision_,
+             quarantine_record_,
+             quarantine_recorded_at_,
+             quarantine_revision_,
+             daemon_records_};
   }
   /// The store loses all records since take_copy(), and gives their revisions
-  /// out again.
+  /// out again. Its era rises.
   void restore_copy() {
+    if (store_era) store_era = StoreEra(store_era->value + 1);
     map_ = copy_.map;
     revision_ = copy_.revision;
     quarantine_record_ = copy_.quarantine_record;
     quarantine_recorded_at_ = copy_.quarantine_recorded_at;
     quarantine_revision_ = copy_.quarantine_revision;
+    daemon_records_ = copy_.daemon_records;
   }
   /// The registry drops the entry of a server that has ended.
   void unlist_server(std::size_t index) {
@@ -323,6 +336,12 @@
     std::vector<Strike> quarantine_record;
     TimePoint quarantine_recorded_at;
     Version quarantine_revision;
+    std::map<DaemonName, DaemonRecord> daemon_records;
+  };
+
+  struct GrantedKey {
+    Epoch epoch;  ///< The highest with which a server was granted it.
+    std::string server;
   };
 
   bool draw(double share) {
@@ -401,6 +420,7 @@
             },
             [&](const GrantKeys& e) { send_grant(daemon, incarnation, e); },
             [&](const ReleaseKeys& e) { send_release(daemon, incarnation, e); },
+            [&](const ReadStoreAgain&) { deliver_view(daemon); },
             [&](const ReadQuarantineRecord&) {
               after(milliseconds(10), [this, daemon, incarnation] {
                 read_quarantine_record(daemon, incarnation);
@@ -420,6 +440,9 @@
             [&](const RelayAnswer& e) {
               if (on_answer) on_answer(daemon, e);
             },
+            [&](const LogEvent& e) {
+              if (on_log) on_log(daemon, e);
+            },
             [](const auto&) {},
         },
         effect);
@@ -453,18 +476,27 @@
   void write(std::size_t daemon, std::uint64_t incarnation,
              const WriteMap& request) {
     auto end = [&](WriteOutcome outcome, Version revision) {
-      post(daemon, incarnation, MapWriteEnded{kBoard, outcome, revision});
+      post(daemon, incarnation,
+           MapWriteEnded{kBoard, request.number, outcome, {era(), revision}});
     };
     if (!reaches_store(daemon)) {
       post(daemon, incarnation, StoreFailed{"down"});
       return end(WriteOutcome::kUnknown, Version());
     }
+    if (draw(faults.write_late)) {
+      after(random_duration(milliseconds(500), seconds(6)),
+            [this, request] { apply_write(request); });
+      return after(milliseconds(1500), [this, daemon, incarnation, request] {
+        post(daemon, incarnation, StoreFailed{"no answer"});
+        post(daemon, incarnation,
+             MapWriteEnded{kBoard, request.number, WriteOutcome::kUnknown, {}});
+      });
+    }
+    answer_from_store(daemon, incarnation);
     if (request.expected != revision_) {
       return end(WriteOutcome::kConflict, Version());
     }
-    map_ = request.map;
-    ++map_writes;
-    revision_ = Version(revision_.value + 1);
+    apply_write(request);
     if (draw(faults.write_unanswered)) {
       return end(WriteOutcome::kUnknown, Version());
     }
@@ -472,24 +504,41 @@
     end(WriteOutcome::kWritten, revision_);
   }
 
+  void apply_write(const WriteMap& request) {
+    if (request.expected != revision_) return;
+    map_ = request.map;
+    ++map_writes;
+    revision_ = Version(revision_.value + 1);
+  }
+
+  StoreEra era() const { return store_era.value_or(StoreEra()); }
+
+  /// The part of every answer that states the era.
+  void answer_from_store(std::size_t daemon, std::uint64_t incarnation) {
+    if (store_era) post(daemon, incarnation, StoreEraSeen{*store_era});
+  }
+
   void read(std::size_t daemon, std::uint64_t incarnation,
             const ServiceName& service) {
     if (!reaches_store(daemon))
       return post(daemon, incarnation, StoreFailed{"down"});
+    answer_from_store(daemon, incarnation);
     post(daemon, incarnation, StoreAnswered());
     if (map_) {
-      post(daemon, incarnation, MapSeen{*map_, revision_});
+      post(daemon, incarnation, MapSeen{*map_, revision_, era()});
     } else {
-      post(daemon, incarnation, MapMissing{service});
+      post(daemon, incarnation, MapMissing{service, era()});
     }
   }
 
   void read_quarantine_record(std::size_t daemon, std::uint64_t incarnation) {
     bool answered = reaches_store(daemon);
+    if (answered) answer_from_store(daemon, incarnation);
     if (answered) post(daemon, incarnation, StoreAnswered());
     QuarantineRecordRead read{answered, Version(), {}};
     if (answered) read.revision = quarantine_revision_;
     if (answered) read.strikes = recorded_strikes();
+    read.read_in = era();
     post(daemon, incarnation, read);
   }
 
@@ -539,6 +588,23 @@
     }
   }
 
+  void check_epoch(const FakeServer& server, const GrantKeys& order) {
+    for (std::uint32_t key : probes_) {
+      if (key < order.first.value || key > order.last.value) continue;
+      auto [highest, added] = granted_.try_emplace(key);
+      GrantedKey& granted = highest->second;
+      // The next process of a server may get a renewal that is under way.
+      const std::string& target = server.entry.name.str();
+      if (!added && order.epoch <= granted.epoch && granted.server != target) {
+        violations.push_back(
+            "key " + std::to_string(key) + " granted to " + target + " with " +
+            std::to_string(order.epoch.value) + " after " + granted.server +
+            " with " + std::to_string(granted.epoch.value));
+      }
+      if (order.epoch >= granted.epoch) granted = {order.epoch, target};
+    }
+  }
+
   bool fenced(const FakeServer& server, const GrantKeys& order) const {
     for (const auto& [key, hold] : server.holds) {
       if (key >= order.first.value && key <= order.last.value &&
@@ -578,6 +644,7 @@
                     OrderEnded{order.order, OrderResult::kNotSent, "", ""});
       }
       TimePoint arrived = now_;
+      if (check_epochs && !fenced(there, order)) check_epoch(there, order);
       if (late) {
         after(config::kGrantTimeout, unanswered);
         return after(random_duration(seconds(2), seconds(12)),
@@ -652,7 +719,14 @@
   void deliver_view(std::size_t daemon) {
     std::uint64_t incarnation = daemons_[daemon].incarnation;
     after(milliseconds(20), [this, daemon, incarnation] {
-      if (!reaches_store(daemon)) return;
+      if (daemons_[daemon].incarnation != incarnation || !running(daemon))
+        return;
+      if (!reaches_store(daemon)) {
+        return after(milliseconds(400), [this, daemon, incarnation] {
+          if (daemons_[daemon].incarnation == incarnation) deliver_view(daemon);
+        });
+      }
+      answer_from_store(daemon, incarnation);
       post(daemon, incarnation, StoreAnswered());
       post(daemon, incarnation, ConfigurationSeen{configuration_, Version(1)});
       ServersListed listed;
@@ -660,14 +734,26 @@
         if (server.up) listed.servers.push_back(server.entry);
       }
       post(daemon, incarnation, listed);
+      const DaemonRecord& self = daemons_[daemon].state->settings.self;
+      daemon_records_[self.name] = self;
+      post_daemon_records(daemon, incarnation);
+      // Daemons that start together register after this one has listed.
+      after(milliseconds(1500), [this, daemon, incarnation] {
+        if (reaches_store(daemon)) post_daemon_records(daemon, incarnation);
+      });
       if (quarantine_revision_.value > 0) {
         post(daemon, incarnation,
              QuarantineRecordRead{true, quarantine_revision_,
-                                  recorded_strikes()});
+                                  recorded_strikes(), era()});
       }
     });
   }
 
+  void post_daemon_records(std::size_t daemon, std::uint64_t incarnation) {
+    for (const auto& [name, record] : daemon_records_)
+      post(daemon, incarnation, DaemonSeen{record});
+  }
+
   static std::set<std::uint32_t> first_probes() {
     std::set<std::uint32_t> probes;
     for (std::uint32_t key = 0; key <= kMaxShardKey; key += kProbeStep)
@@ -688,7 +774,9 @@
   std::vector<Strike> quarantine_record_;
   TimePoint quarantine_recorded_at_;
   Version quarantine_revision_;
+  std::map<DaemonName, DaemonRecord> daemon_records_;
   StoreCopy copy_;
+  std::map<std::uint32_t, GrantedKey> granted_;
   std::multiset<ScheduledAction> scheduled_;
   std::uint64_t order_ = 0;
   std::uint64_t incarnations_ = 0;
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -8,6 +8,7 @@
 #include "objects.h"
 #include "request_format.h"
 #include "settings_file.h"
+#include "tests/store_positions.h"
 
 /// Tests of the adapter to the users' platform: which input it accepts and
 /// which it rejects.
@@ -620,7 +621,7 @@
   heartbeat.stopping = *rc::gen::arbitrary<bool>();
   heartbeat.loads = {{ServerName("s1"), 3}, {ServerName("s2"), 1}};
   heartbeat.terms = {
-      {ServiceName("b"), TermEpoch(4), milliseconds(20), Version(99)}};
+      {ServiceName("b"), TermEpoch(4), milliseconds(20), fleet::at(99)}};
   heartbeat.key_load_reports = {{ServiceName("b"),
                                  {{fleet::ShardKey(7), 1.25}},
                                  {{ServerName("s1"), 2.5, milliseconds(160)}}}};
@@ -660,7 +661,7 @@
   ASSERT_TRUE(ok(decoded));
   EXPECT_TRUE(value(decoded) == map);
   auto change = codec::decode_datagram(codec::encode_map_change(
-      fleet::change_between(map, Version(1), map, Version(2))));
+      fleet::change_between(map, fleet::at(1), map, fleet::at(2))));
   ASSERT_TRUE(ok(change));
   EXPECT_EQ(std::get<fleet::MapChange>(value(change)).replaced_coordinators,
             map.replaced_coordinators);
--- a/tests/store_feed_test.cc
+++ b/tests/store_feed_test.cc
@@ -41,7 +41,7 @@
     ON_CALL(store_, list)
         .WillByDefault([](ObjectKind, const std::string&,
                           const FleetStore::PageCallback& done) {
-          done(ObjectPage{{}, false, Version(5)});
+          done(ObjectPage{{}, false, Version(5), std::nullopt});
         });
     ON_CALL(store_, watch)
         .WillByDefault([this](ObjectKind kind, Version since, Duration wait,
@@ -78,7 +78,7 @@
   run_until_watches(2);
   EXPECT_LE(watches_[1].wait, milliseconds(100));
   EXPECT_EQ(watches_[1].since, Version(5));
-  watches_[1].done(ObjectPage{{}, false, Version(5)});
+  watches_[1].done(ObjectPage{{}, false, Version(5), std::nullopt});
   run_until_watches(3);
   EXPECT_EQ(watches_[2].wait, usual_wait);
 }
@@ -95,7 +95,7 @@
   EXPECT_CALL(store_, list(ObjectKind::kConfiguration, _, _))
       .WillOnce([](ObjectKind, const std::string&,
                    const FleetStore::PageCallback& done) {
-        done(ObjectPage{{}, false, Version(9)});
+        done(ObjectPage{{}, false, Version(9), std::nullopt});
       });
   watches_[0].done(StoreFailure{StoreFailureKind::kHistoryGone, "410"});
   run_until_watches(2);
@@ -110,7 +110,7 @@
       .WillOnce([&](const std::string&, const std::string& written,
                     const FleetStore::ChangeCallback& done) {
         text = written;
-        done(Version(8));
+        done(RecordWritten{Version(8), std::nullopt});
       });
   feed_.write_quarantine_record({{strike}, Version()});
   ASSERT_TRUE(
@@ -119,7 +119,7 @@
       .WillOnce([&](ObjectKind, const std::string& name,
                     const FleetStore::PageCallback& done) {
         StoredObject object{name, Version(8), false, RecordText{text}};
-        done(ObjectPage{{object}, false, Version(8)});
+        done(ObjectPage{{object}, false, Version(8), std::nullopt});
       })
       .WillOnce([](ObjectKind, const std::string&,
                    const FleetStore::PageCallback& done) {
@@ -141,5 +141,59 @@
   EXPECT_FALSE(read().answered);
 }
 
+/// Counts the events of a kind, and gives the last one.
+template <class T>
+std::pair<int, T> last_of(const std::vector<fleet::Event>& events) {
+  std::pair<int, T> result{};
+  for (const fleet::Event& event : events) {
+    if (const auto* found = std::get_if<T>(&event)) {
+      ++result.first;
+      result.second = *found;
+    }
+  }
+  return result;
+}
+
+// Guards against a watch that continues in another history of the store.
+TEST_F(StoreFeedTest, ChangesOfALaterEraAreNotAppliedButListed) {
+  run_until_watches(1);
+  ObjectPage page{{}, false, Version(300), StoreEra(2)};
+  watches_[0].done(page);
+  auto [seen, era] = last_of<fleet::StoreEraSeen>(events_);
+  EXPECT_EQ(seen, 1);
+  EXPECT_EQ(era.era, StoreEra(2));
+  // The reducer asks for it when the era rises.
+  feed_.read_again();
+  auto [lists, listed] = last_of<fleet::ServersListed>(events_);
+  EXPECT_GE(lists, 2);
+  EXPECT_EQ(listed.as_of.era, StoreEra(2));
+}
+
+TEST_F(StoreFeedTest, AnswersOfAnEarlierEraAreDropped) {
+  run_until_watches(1);
+  watches_[0].done(ObjectPage{{}, false, Version(6), StoreEra(2)});
+  run_until_watches(2);
+  watches_[1].done(ObjectPage{{}, false, Version(400), StoreEra(1)});
+  EXPECT_EQ(last_of<fleet::EarlierEraAnswered>(events_).first, 1);
+  EXPECT_EQ(last_of<fleet::StoreChanged>(events_).first, 1);
+  run_until_watches(3);
+  EXPECT_EQ(watches_[2].since, Version(6));
+}
+
+TEST_F(StoreFeedTest, CallsInProgressEndWithoutEffectWhenEverythingIsRead) {
+  run_until_watches(1);
+  feed_.read_again();
+  ASSERT_EQ(watches_.size(), 2u);
+  watches_[0].done(ObjectPage{{}, false, Version(400), std::nullopt});
+  EXPECT_EQ(last_of<fleet::StoreChanged>(events_).first, 0);
+}
+
+TEST_F(StoreFeedTest, ARefusalStatesTheEraAsWell) {
+  run_until_watches(1);
+  watches_[0].done(
+      StoreFailure{StoreFailureKind::kRefused, "503", StoreEra(4)});
+  EXPECT_EQ(last_of<fleet::StoreEraSeen>(events_).second.era, StoreEra(4));
+}
+
 }  // namespace
 }  // namespace eelgrasspin::io
--- a/tests/store_restored_ownership_test.cc
+++ b/tests/store_restored_ownership_test.cc
@@ -11,13 +11,17 @@
 /// Longer than any grant, from any coordinator, may last.
 constexpr Duration kRecoveryTime = seconds(40);
 
-/// Keys move to other servers after the store's copy was taken. The copy lists
-/// their former owner as ready.
+/// Keys move to other servers after the store's copy was taken.
 void move_keys_after_copy(FleetWorld& world) {
+  world.store_era = StoreEra(1);
   world.run_for(kSettlingTime);
   world.take_copy();
   world.drain_server(1);
   world.run_for(kCopyAge);
+}
+
+/// As the copy shows it.
+void list_former_owner_as_ready(FleetWorld& world) {
   world.servers()[1].entry.draining = false;
 }
 
@@ -33,6 +37,7 @@
 TEST(StoreRestoredOwnership, RestartedCoordinatorGrantsNoKeysThatAreHeld) {
   FleetWorld world(3, 4, 1);
   move_keys_after_copy(world);
+  list_former_owner_as_ready(world);
   auto coordinator = world.coordinator();
   ASSERT_TRUE(coordinator);
   world.stop_store();
@@ -48,6 +53,7 @@
 TEST(StoreRestoredOwnership, RestartedFleetGrantsNoKeysThatAreHeld) {
   FleetWorld world(3, 4, 2);
   move_keys_after_copy(world);
+  list_former_owner_as_ready(world);
   world.stop_store();
   for (std::size_t i = 0; i < world.daemons(); ++i) {
     world.kill(i);
--- a/tests/store_view_test.cc
+++ b/tests/store_view_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "fleet/reduce.h"
+#include "tests/store_positions.h"
 
 namespace eelgrasspin::fleet {
 namespace {
@@ -18,17 +19,17 @@
                      RegionName("r"),    Endpoint("10.0.0.1:7"), 100};
     state_ = make_state(settings, now_);
     for (StoreView view : kStoreViews) {
-      reduce(state_, ViewListed{view, Version(10)}, now_);
+      reduce(state_, ViewListed{view, at(10)}, now_);
     }
     reduce(state_, StoreAnswered(), now_);
   }
 
-  Heartbeat heartbeat(Version servers, Duration age) {
+  Heartbeat heartbeat(StorePosition servers, Duration age) {
     Heartbeat beat;
     beat.daemon = {kRelay,          Incarnation(1),         ZoneName("z"),
                    RegionName("r"), Endpoint("10.0.0.2:7"), 500};
     beat.sequence = ++sequence_;
-    beat.view = Heartbeat::View{Version(10), servers, age};
+    beat.view = Heartbeat::View{at(10), servers, age};
     return beat;
   }
   Effects receive(const Heartbeat& beat) {
@@ -43,7 +44,7 @@
     }
     return all;
   }
-  StoreUpdate update(Version base, Version as_of) {
+  StoreUpdate update(StorePosition base, StorePosition as_of) {
     StoreUpdate update;
     update.view = StoreView::kServers;
     update.base = base;
@@ -74,7 +75,7 @@
 }
 
 TEST_F(StoreViewTest, FollowsARelayWhoseCopyIsFresh) {
-  receive(heartbeat(Version(10), milliseconds(300)));
+  receive(heartbeat(at(10), milliseconds(300)));
   Effects effects = tick_for(config::kTickInterval);
   EXPECT_FALSE(state_.watching);
   EXPECT_EQ(count<WatchStore>(effects), 1u);
@@ -83,17 +84,17 @@
 /// A relay that is cut off from the store, frozen or lost must not keep changes
 /// from the other daemons for longer than kMaxRelayViewAge.
 TEST_F(StoreViewTest, WatchesAgainOnceTheRelaysCopyIsOld) {
-  receive(heartbeat(Version(10), milliseconds(300)));
+  receive(heartbeat(at(10), milliseconds(300)));
   tick_for(milliseconds(200));
   EXPECT_FALSE(state_.watching);
   tick_for(milliseconds(700));
-  receive(heartbeat(Version(10), milliseconds(1200)));
+  receive(heartbeat(at(10), milliseconds(1200)));
   tick_for(milliseconds(260));
   EXPECT_TRUE(state_.watching);
 }
 
 TEST_F(StoreViewTest, WatchesWhileTheRelayCannotReachTheStore) {
-  Heartbeat beat = heartbeat(Version(10), Duration(0));
+  Heartbeat beat = heartbeat(at(10), Duration(0));
   beat.store_unreachable_for = milliseconds(50);
   receive(beat);
   tick_for(config::kTickInterval);
@@ -103,7 +104,7 @@
 TEST_F(StoreViewTest, WatchesUntilItsOwnCallsSucceedAgain) {
   now_ += milliseconds(10);
   reduce(state_, StoreFailed{"silent"}, now_);
-  receive(heartbeat(Version(10), Duration(0)));
+  receive(heartbeat(at(10), Duration(0)));
   tick_for(config::kTickInterval);
   EXPECT_TRUE(state_.watching);
   reduce(state_, StoreAnswered(), now_);
@@ -112,29 +113,29 @@
 }
 
 TEST_F(StoreViewTest, UpdatesWithAKnownBaseAreApplied) {
-  receive(heartbeat(Version(10), Duration(0)));
-  reduce(state_, StoreUpdateReceived{update(Version(10), Version(15))}, now_);
+  receive(heartbeat(at(10), Duration(0)));
+  reduce(state_, StoreUpdateReceived{update(at(10), at(15))}, now_);
   EXPECT_EQ(state_.servers.count(ServerName("s")), 1u);
-  EXPECT_EQ(state_.views[StoreView::kServers].as_of, Version(15));
+  EXPECT_EQ(state_.views[StoreView::kServers].as_of, at(15));
 }
 
 TEST_F(StoreViewTest, UpdatesAfterALostOneAreReadFromTheStore) {
-  receive(heartbeat(Version(10), Duration(0)));
+  receive(heartbeat(at(10), Duration(0)));
   tick_for(config::kTickInterval);
-  reduce(state_, StoreUpdateReceived{update(Version(12), Version(15))}, now_);
+  reduce(state_, StoreUpdateReceived{update(at(12), at(15))}, now_);
   EXPECT_EQ(state_.servers.count(ServerName("s")), 0u);
-  receive(heartbeat(Version(15), Duration(0)));
+  receive(heartbeat(at(15), Duration(0)));
   Effects effects =
       tick_for(config::kOutdatedViewReadDelay + config::kTickInterval * 2);
   EXPECT_EQ(count<CatchUp>(effects), 1u);
-  reduce(state_, StoreChanged{update(Version(), Version(16))}, now_);
+  reduce(state_, StoreChanged{update(StorePosition(), at(16))}, now_);
   EXPECT_EQ(count<CatchUp>(tick_for(milliseconds(400))), 0u);
 }
 
 TEST_F(StoreViewTest, EntriesThatExpiredInAnOutageAreKeptForAWhile) {
-  receive(heartbeat(Version(10), Duration(0)));
-  reduce(state_, StoreUpdateReceived{update(Version(10), Version(15))}, now_);
-  StoreUpdate removal = update(Version(15), Version(18));
+  receive(heartbeat(at(10), Duration(0)));
+  reduce(state_, StoreUpdateReceived{update(at(10), at(15))}, now_);
+  StoreUpdate removal = update(at(15), at(18));
   removal.servers = {ServerName("s")};
   removal.since_outage = milliseconds(700);
   reduce(state_, StoreUpdateReceived{removal}, now_);
@@ -147,58 +148,58 @@
 /// An entry that is missing after an outage counts as removed two seconds after
 /// the end of the outage, however late the registry is listed.
 TEST_F(StoreViewTest, WaitForLapsedEntriesCountsFromTheStoresReturn) {
-  reduce(state_, StoreUpdateReceived{update(Version(10), Version(15))}, now_);
+  reduce(state_, StoreUpdateReceived{update(at(10), at(15))}, now_);
   now_ += milliseconds(20);
   reduce(state_, StoreFailed{"cut"}, now_);
   now_ += seconds(12);
   reduce(state_, StoreAnswered(), now_);
   TimePoint back = now_;
   tick_for(milliseconds(1200));
-  reduce(state_, ServersListed{{}, Version(40)}, now_);
+  reduce(state_, ServersListed{{}, at(40)}, now_);
   tick_for(config::kRegistryRecoveryTime + config::kTickInterval * 2 -
            (now_ - back));
   EXPECT_TRUE(state_.servers.at(ServerName("s")).removed);
 }
 
 TEST_F(StoreViewTest, AnswersOlderThanTheCopyChangeNothing) {
-  reduce(state_, StoreUpdateReceived{update(Version(10), Version(15))}, now_);
-  StoreUpdate old = update(Version(), Version(14));
+  reduce(state_, StoreUpdateReceived{update(at(10), at(15))}, now_);
+  StoreUpdate old = update(StorePosition(), at(14));
   old.servers = {ServerName("s")};
   reduce(state_, StoreChanged{old}, now_);
-  reduce(state_, ServersListed{{}, Version(14)}, now_);
+  reduce(state_, ServersListed{{}, at(14)}, now_);
   EXPECT_FALSE(state_.servers.at(ServerName("s")).removed);
-  EXPECT_EQ(state_.views[StoreView::kServers].as_of, Version(15));
+  EXPECT_EQ(state_.views[StoreView::kServers].as_of, at(15));
 }
 
 /// A daemon that has followed its relay starts to watch from the revision of
 /// its copy. From its own last call it might be too late, as the store drops
 /// old changes.
 TEST_F(StoreViewTest, WatchingGoesOnFromTheCopy) {
-  receive(heartbeat(Version(10), Duration(0)));
+  receive(heartbeat(at(10), Duration(0)));
   tick_for(config::kTickInterval);
-  reduce(state_, StoreUpdateReceived{update(Version(10), Version(15))}, now_);
+  reduce(state_, StoreUpdateReceived{update(at(10), at(15))}, now_);
   Effects effects =
       tick_for(config::kMaxRelayViewAge + config::kTickInterval * 2);
   ASSERT_EQ(count<WatchStore>(effects), 1u);
   for (const Effect& effect : effects) {
     if (const auto* watch = std::get_if<WatchStore>(&effect)) {
       EXPECT_TRUE(watch->on);
-      EXPECT_EQ(watch->servers_as_of, Version(15));
+      EXPECT_EQ(watch->servers_as_of, at(15));
     }
   }
 }
 
 TEST_F(StoreViewTest, TheRelayForwardsChanges) {
-  Heartbeat small = heartbeat(Version(10), Duration(0));
+  Heartbeat small = heartbeat(at(10), Duration(0));
   small.daemon.capacity = 50;
   small.view.reset();
   receive(small);
   Effects effects =
-      reduce(state_, StoreChanged{update(Version(), Version(15))}, now_);
+      reduce(state_, StoreChanged{update(StorePosition(), at(15))}, now_);
   ASSERT_EQ(count<SendStoreUpdate>(effects), 1u);
   for (const Effect& effect : effects) {
     if (const auto* send = std::get_if<SendStoreUpdate>(&effect)) {
-      EXPECT_EQ(send->update.base, Version(10));
+      EXPECT_EQ(send->update.base, at(10));
       EXPECT_EQ(send->to, std::vector<Endpoint>{Endpoint("10.0.0.2:7")});
     }
   }
--- a/tests/zone_relay_test.cc
+++ b/tests/zone_relay_test.cc
@@ -156,7 +156,9 @@
   ASSERT_NE(world.revision(), before);
   world.run_for(milliseconds(80));
   for (std::size_t i = 0; i < world.daemons(); ++i) {
-    EXPECT_EQ(world.state(i).maps.at(kBoard).revision, world.revision()) << i;
+    EXPECT_EQ(world.state(i).maps.at(kBoard).position.revision,
+              world.revision())
+        << i;
     EXPECT_FALSE(world.state(i).maps.at(kBoard).behind_since) << i;
   }
 }
