Do not use servers that a restored store lists although they have left

A restored store lists servers as they were when the copy was taken: one that has drained or gone since is ready again, and one that has started again shows its earlier start. Requests went to servers that were known to leave, and the limit that a server states was dropped with the outdated entry, so that it could be sent more than it takes.

Such an entry now counts only if the store still lists it after the time in which a silent server's entry expires (platform.heartbeatS, three check-ins), or as soon as the server has written it again.

store_restoration_test: ServerThatHasLeftIsNotUsedAgain and EntryOfAnEarlierStartReplacesNothing fail without this change (the server accepts work; the limit is gone).

--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -7,6 +7,7 @@
 #include "fleet/peers.h"
 #include "fleet/quarantine.h"
 #include "fleet/requests.h"
+#include "fleet/store_restoration.h"
 
 namespace eelgrasspin::fleet {
 namespace {
@@ -21,6 +22,14 @@
   server.leaving_since = now;
 }
 
+/// Whether the entry shows the server as it was before something that is known
+/// of it, as a restored store does until the server writes again.
+bool is_outdated(const ServerState& known, const Server& listed) {
+  if (listed.incarnation != known.server.incarnation)
+    return listed.incarnation < known.server.incarnation;
+  return known.leaving && !listed.draining;
+}
+
 /// Applies an entry. True if index_servers() has to be called.
 bool update_server(State& state, const Server& server, TimePoint now,
                    Effects& effects) {
@@ -44,6 +53,7 @@
   }
   if (added || restarted) entry.joined_at = now;
   entry.server = server;
+  entry.doubtful_entry.reset();
   entry.read_at = now;
   entry.removed = false;
   entry.evacuated = state.evacuated_zones.count(server.zone) > 0;
@@ -69,6 +79,7 @@
 
 void remove_server(State& state, ServerState& entry, TimePoint now,
                    Effects& effects) {
+  entry.doubtful_entry.reset();
   if (entry.removed || entry.may_return_until) return;
   if (in_or_after_outage(state, now) && !entry.leaving) {
     // Counted from the end of the outage, however late the list was read.
@@ -123,6 +134,18 @@
   std::set<ServerName> present;
   for (const Server& server : listed.servers) {
     present.insert(server.name);
+    auto known = state.servers.find(server.name);
+    if (known != state.servers.end() && lists_outdated_entries(state, now) &&
+        is_outdated(known->second, server)) {
+      known->second.doubtful_entry = server;
+      state.servers_due = now;
+      log_event(effects, "server",
+                {{"server", server.name.str()},
+                 {"service", server.service.str()},
+                 {"state", "doubtful"},
+                 {"incarnation", text(server.incarnation.value)}});
+      continue;
+    }
     update_server(state, server, now, effects);
   }
   for (auto& [name, entry] : state.servers) {
@@ -173,14 +196,19 @@
                  {"state", "gone"},
                  {"reason", "not_back_after_outage"}});
     }
-    if (entry.removed && entry.in_flight == 0 &&
+    if (entry.doubtful_entry && !lists_outdated_entries(state, now)) {
+      Server listed = *entry.doubtful_entry;
+      update_server(state, listed, now, effects);
+      changed = true;
+    }
+    if (entry.removed && !entry.doubtful_entry && entry.in_flight == 0 &&
         now - entry.leaving_since > kRemovedServerRetention) {
       it = state.servers.erase(it);
       changed = true;
       continue;
     }
     // While the outage lasts, the time until which an entry may return moves.
-    if (entry.may_return_until) look_again(now);
+    if (entry.may_return_until || entry.doubtful_entry) look_again(now);
     if (entry.removed) {
       look_again(std::max(now + seconds(1),
                           entry.leaving_since + kRemovedServerRetention));
--- a/tests/store_restoration_test.cc
+++ b/tests/store_restoration_test.cc
@@ -105,6 +105,29 @@
   EXPECT_FALSE(accepts_work(known()));
 }
 
+// Guards against requests to a server that left after the copy was taken.
+TEST_F(StoreRestoration, ServerThatHasLeftIsNotUsedAgain) {
+  Server draining = server();
+  draining.draining = true;
+  change(draining, at(101, 1));
+  restore();
+  list({server()});
+  EXPECT_FALSE(accepts_work(known()));
+  run_for(milliseconds(500));
+  change(kServer, at(45, 2));
+  run_for(seconds(8));
+  EXPECT_FALSE(accepts_work(known()));
+}
+
+TEST_F(StoreRestoration, ServerThatIsStillListedLaterIsUsedAgain) {
+  change(kServer, at(101, 1));
+  restore();
+  list({server()});
+  EXPECT_FALSE(accepts_work(known()));
+  run_for(seconds(8));
+  EXPECT_TRUE(accepts_work(known()));
+}
+
 TEST_F(StoreRestoration, ServerThatWritesItsEntryAgainIsUsedAtOnce) {
   change(kServer, at(101, 1));
   restore();
@@ -113,6 +136,20 @@
   EXPECT_TRUE(accepts_work(known()));
 }
 
+// Guards against a limit that is dropped with an outdated entry.
+TEST_F(StoreRestoration, EntryOfAnEarlierStartReplacesNothing) {
+  Server restarted = server();
+  restarted.incarnation = Incarnation(9);
+  change(restarted, at(101, 1));
+  state_.servers.at(kServer).limit.emplace().rate = {3.5};
+  restore();
+  list({server()});
+  EXPECT_EQ(known().server.incarnation, Incarnation(9));
+  EXPECT_TRUE(known().limit);
+  change(restarted, at(41, 2));
+  EXPECT_TRUE(known().limit);
+}
+
 TEST_F(StoreRestoration, EvacuationThatTheStoreHasLostStaysInForce) {
   apply(EvacuationsListed{{ZoneName("z")}, at(101, 1)});
   restore();
