--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -253,6 +253,31 @@
   published_versions_.push_back({version, io::steady_now()});
 }
 
+void Fleet::begin_restoration() {
+  restoring_ = true;
+  store_.down = true;
+}
+
+void Fleet::write_again() {
+  for (Backend& backend : backends_) {
+    if (backend.server->up())
+      publish_entry(backend, backend.draining_since ? "draining" : "ready");
+  }
+  store_.put(kConfigKind, kActiveConfigName,
+             configuration(published_versions_.back().version));
+}
+
+void Fleet::expire_entries() {
+  for (Backend& backend : backends_) {
+    if (!backend.server->up()) remove_entry(backend);
+  }
+}
+
+void Fleet::end_restoration() {
+  restoring_ = false;
+  note_environment_disturbed();
+}
+
 Endpoint Fleet::caller_endpoint(const Daemon& daemon) const {
   return Endpoint(daemon.ip + ":" + std::to_string(kCallersPort));
 }
@@ -286,7 +311,8 @@
 }
 
 bool Fleet::fault_in_force() const {
-  if (store_.down || store_.silent || store_.loses_answers) return true;
+  if (restoring_ || store_.down || store_.silent || store_.loses_answers)
+    return true;
   return std::any_of(daemons_.begin(), daemons_.end(),
                      [](const Daemon& daemon) {
                        return daemon.store_proxy->fault() != LinkFault::kNone;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -73,6 +73,13 @@
   void remove_entry(Backend& backend);
   /// Publishes the next version of the configuration.
   void publish();
+  /// The store refuses calls until it is back from a copy.
+  void begin_restoration();
+  /// The operator and the servers that run write their objects again.
+  void write_again();
+  /// Drops the entries of servers that do not run.
+  void expire_entries();
+  void end_restoration();
 
   Endpoint caller_endpoint(const Daemon& daemon) const;
   Endpoint ready_endpoint(const Daemon& daemon) const;
@@ -117,6 +124,7 @@
   std::deque<Backend> backends_;
   std::vector<HighestGrant> highest_grants_;  ///< By key.
   std::vector<PublishedVersion> published_versions_;
+  bool restoring_ = false;
   /// Last disturbance of the store, a link or the whole machine.
   TimePoint environment_disturbed_at_;
 };
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -8,6 +8,7 @@
 #include "tests/soak/faults.h"
 #include "tests/soak/fleet.h"
 #include "tests/soak/misbehavior.h"
+#include "tests/soak/restorations.h"
 
 /// Runs the real program on loopback under randomized faults.
 namespace eelgrasspin::soak {
@@ -30,6 +31,7 @@
   std::size_t seeds = 1;
   std::size_t daemons = 4;
   unsigned seconds_of_faults = 20;
+  bool restorations = false;
 };
 
 void run_for(Fleet& fleet, Duration duration) {
@@ -72,9 +74,12 @@
   }
   FaultInjector faults(fleet, seed);
   ServerMisbehavior misbehavior(fleet, seed);
+  std::optional<StoreRestorations> restorations;
+  if (plan.restorations) restorations.emplace(fleet, seed);
   run_for(fleet, seconds(plan.seconds_of_faults));
   faults.stop();
   misbehavior.stop();
+  if (restorations) restorations->stop();
   // Processes that were ordered to stop exit in this time.
   run_for(fleet, seconds(7));
   faults.heal();
@@ -98,7 +103,10 @@
   if (kept) {
     std::filesystem::remove_all(folder);
   } else {
-    for (const auto* history : {&faults.history(), &misbehavior.history()}) {
+    std::vector<std::string> none;
+    for (const auto* history :
+         {&faults.history(), &misbehavior.history(),
+          restorations ? &restorations->history() : &none}) {
       for (const std::string& fault : *history)
         std::cout << "    " << fault << "\n";
     }
@@ -121,7 +129,9 @@
       "daemons", options::value(&plan.daemons)->default_value(4),
       "daemons, 2 to 200")(
       "seconds", options::value(&plan.seconds_of_faults)->default_value(20),
-      "time with faults, for each seed");
+      "time with faults, for each seed")(
+      "restorations", options::bool_switch(&plan.restorations),
+      "restore the store from older copies beside the other faults");
   try {
     options::variables_map given;
     options::store(options::parse_command_line(argc, argv, all), given);
