End an exchange at once whose response has no valid status

A server's response with a status below 100 was taken for an interim one, so that a request waited to its caller's deadline for an answer that had come (504); 600 to 999 were passed on to the caller as an answer if they had a stamp. The same held for an interim response with a body.

A status outside 100 to 599, an interim response with a body, and a change of the protocol now end the exchange like a broken response: the attempt counts as lost, promises nothing, and its connection is closed. Requests that may be repeated go to another server, the others get 502 at once. It holds for all clients, also for orders to servers and for the store, as they share the code.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -24,6 +24,10 @@
 
 constexpr std::size_t kReadChunkBytes = 16 * 1024;
 constexpr std::size_t kMaxIdlePerClient = 4;
+constexpr unsigned kContinue = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 
 using Request = http::request<http::span_body<const char>>;
 
@@ -253,6 +257,10 @@
     buffer_.consume(parser_->put(buffer_.data(), failed));
     if (failed == http::error::need_more) failed = {};
     if (failed) return fail(HttpFailureKind::kTruncated, failed.message());
+    if (parser_->is_header_done() && !is_usable()) {
+      return fail(HttpFailureKind::kTruncated,
+                  "status " + std::to_string(parser_->get().result_int()));
+    }
     body_share_.set(parser_->get().body().size());
     if (body_share_.exceeds(config::kMinAnswerBytes)) {
       return fail(HttpFailureKind::kTruncated, "responses exceed the memory");
@@ -263,13 +271,25 @@
       }
       return read_more();
     }
-    if (parser_->get().result_int() < 200) {
+    if (parser_->get().result_int() < kFirstFinalStatus) {
       new_parser();
       return buffer_.size() > 0 ? parse() : read_more();
     }
     finish();
   }
 
+  /// Whether the header can be that of a response to this client's requests:
+  /// an interim one has no body, and no other protocol was asked for.
+  bool is_usable() const {
+    const auto& message = parser_->get();
+    unsigned status = message.result_int();
+    if (status < kContinue || status > kLastStatus) return false;
+    if (status >= kFirstFinalStatus) return true;
+    return status != kSwitchingProtocols && !message.chunked() &&
+           (message.count(http::field::content_length) == 0 ||
+            message[http::field::content_length] == "0");
+  }
+
   /// A response without a length ends with the connection.
   void parse_eof() {
     error_code failed;
