--- a/tests/fleet_messages_test.cc
+++ b/tests/fleet_messages_test.cc
@@ -271,5 +271,85 @@
   EXPECT_NEAR(read[2].work_times.levels[1].mean_log, std::log(50.0), 0.001);
 }
 
+fleet::OwnerMap map_of_one_range() {
+  fleet::OwnerMap map;
+  map.service = ServiceName("board");
+  map.ranges = {{fleet::ShardKey(0),
+                 fleet::ShardKey(fleet::kMaxShardKey),
+                 {ServerName("s"), Incarnation(1)},
+                 Epoch(1),
+                 {}}};
+  return map;
+}
+
+TEST(FleetMessages, ErasOfPositionsAreKept) {
+  fleet::Heartbeat heartbeat;
+  heartbeat.daemon.name = DaemonName("d");
+  heartbeat.store_era = StoreEra(3);
+  heartbeat.view =
+      fleet::Heartbeat::View{fleet::at(3, 3), fleet::at(4, 3), seconds(1)};
+  heartbeat.terms = {
+      {ServiceName("a"), TermEpoch(5), seconds(1), fleet::at(9, 2),
+       TermEpoch(0)},
+      {ServiceName("b"), TermEpoch(6), seconds(0), fleet::at(10, 3), {}}};
+  auto read = decode_datagram(encode_heartbeat(heartbeat));
+  ASSERT_TRUE(ok(read));
+  const auto& got = std::get<fleet::Heartbeat>(value(read));
+  EXPECT_EQ(got.store_era, StoreEra(3));
+  EXPECT_EQ(got.view->servers, fleet::at(4, 3));
+  EXPECT_EQ(got.terms[0].position, fleet::at(9, 2));
+  EXPECT_EQ(got.terms[0].coordinated, TermEpoch(0));
+  EXPECT_EQ(got.terms[1].position, fleet::at(10, 3));
+  EXPECT_FALSE(got.terms[1].coordinated);
+
+  fleet::StoreUpdate update = update_of_servers();
+  update.states_era = true;
+  update.base = fleet::at(7, 2);
+  update.as_of = fleet::at(12, 3);
+  read = decode_datagram(encode_store_update(update));
+  ASSERT_TRUE(ok(read));
+  EXPECT_TRUE(std::get<fleet::StoreUpdate>(value(read)).states_era);
+  EXPECT_EQ(std::get<fleet::StoreUpdate>(value(read)).base, update.base);
+  EXPECT_EQ(std::get<fleet::StoreUpdate>(value(read)).as_of, update.as_of);
+
+  fleet::OwnerMap map = map_of_one_range();
+  map.grants_lost = true;
+  auto change =
+      fleet::change_between(map, fleet::at(20, 2), map, fleet::at(8, 3));
+  change.states_era = true;
+  read = decode_datagram(encode_map_change(change));
+  ASSERT_TRUE(ok(read));
+  const auto& got_change = std::get<fleet::MapChange>(value(read));
+  EXPECT_EQ(got_change.base, change.base);
+  EXPECT_EQ(got_change.position, change.position);
+  EXPECT_TRUE(got_change.grants_lost);
+}
+
+// Guards against messages of a daemon that knows no eras being refused, or
+// taken for those of the first one.
+TEST(FleetMessages, ErasMayBeUnstated) {
+  fleet::Heartbeat heartbeat;
+  heartbeat.daemon.name = DaemonName("d");
+  heartbeat.terms = {
+      {ServiceName("a"), TermEpoch(5), seconds(1), fleet::at(9), {}}};
+  std::string text = encode_heartbeat(heartbeat);
+  EXPECT_EQ(text.find("era"), std::string::npos);
+  auto read = decode_datagram(text);
+  ASSERT_TRUE(ok(read));
+  EXPECT_FALSE(std::get<fleet::Heartbeat>(value(read)).store_era);
+
+  read = decode_datagram(encode_store_update(update_of_servers()));
+  ASSERT_TRUE(ok(read));
+  EXPECT_FALSE(std::get<fleet::StoreUpdate>(value(read)).states_era);
+
+  std::string record = encode_owner_map(map_of_one_range());
+  const std::string era = ",\"era\":0";
+  ASSERT_NE(record.find(era), std::string::npos);
+  record.erase(record.find(era), era.size());
+  auto map = decode_owner_map(record, StoreEra(4));
+  ASSERT_TRUE(ok(map));
+  EXPECT_EQ(value(map).era, StoreEra(4));
+}
+
 }  // namespace
 }  // namespace eelgrasspin::codec
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -82,12 +82,19 @@
   if (restorations) restorations->stop();
   // Processes that were ordered to stop exit in this time.
   run_for(fleet, seconds(7));
+  while (restorations && restorations->in_progress())
+    run_for(fleet, milliseconds(200));
   faults.heal();
   misbehavior.heal();
   for (Daemon& daemon : fleet.daemons())
     (void)callers.take_served_count(daemon);
   if (!wait_until_all_serve(fleet, callers, kRecoveryLimit))
     guarantees.not_recovered("the end");
+  if (plan.restorations) {
+    // A change after the last restoration is in force in time.
+    fleet.publish();
+    run_for(fleet, kUndisturbedPeriod + seconds(5));
+  }
   callers.stop();
   run_for(fleet, seconds(3));
   guarantees.finish();
--- a/tests/soak/restorations.cc
+++ b/tests/soak/restorations.cc
@@ -42,6 +42,7 @@
 }
 
 void StoreRestorations::restore() {
+  in_progress_ = true;
   record("store copied");
   fleet_.store().take_copy();
   Duration age = random_duration(300, 6000);
@@ -66,6 +67,7 @@
   run_after(back + kEntryExpiry, [this] {
     fleet_.expire_entries();
     fleet_.end_restoration();
+    in_progress_ = false;
     schedule();
   });
 }
--- a/tests/soak/restorations.h
+++ b/tests/soak/restorations.h
@@ -19,6 +19,7 @@
   StoreRestorations(Fleet& fleet, std::uint32_t seed);
   /// Starts no further restoration; one in progress ends.
   void stop() { stopped_ = true; }
+  bool in_progress() const { return in_progress_; }
   const std::vector<std::string>& history() const { return history_; }
 
  private:
@@ -33,6 +34,7 @@
   std::list<boost::asio::steady_timer> scheduled_;
   std::vector<std::string> history_;
   TimePoint started_;
+  bool in_progress_ = false;
   bool stopped_ = false;
 };
 
