Bound the wait for lost grants by the daemons that can have sent any

A daemon without others, or beside daemons that have been silent for longer than any grant lasts, waited for lost grants for the longest time possible, although nobody was left that could have sent one.

--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -45,22 +45,38 @@
   return now + renewing + longest_hold(state.settings);
 }
 
+/// No daemon that may have made lost grants renews them any more.
+void bound_lost_grants(const State& state, CoordinatorRole& role,
+                       TimePoint now) {
+  Duration rest =
+      role.grants_may_be_lost ? longest_hold(state.settings) : Duration(0);
+  role.lost_grants_until = std::min(*role.lost_grants_until, now + rest);
+}
+
+/// Whether the daemon has been silent for so long that no grant of it lasts.
+bool has_been_silent(const State& state, const DaemonName& daemon,
+                     TimePoint now) {
+  auto peer = state.fleet.peers.find(daemon);
+  return peer != state.fleet.peers.end() &&
+         now - peer->second.received_at >
+             config::kMaxRenewalWithoutStore + longest_hold(state.settings);
+}
+
 /// Takes note that servers may hold keys by grants which this coordinator does
 /// not know. They have ended once every daemon that may have made them has
 /// stopped renewing, and the longest hold has passed.
 void expect_lost_grants(const State& state, CoordinatorRole& role,
-                        TermEpoch term, TimePoint now) {
-  bool expected =
-      role.lost_grants_until.has_value() && now < *role.lost_grants_until;
-  role.grants_may_be_lost = expected || !remembers_lost_grants(state);
+                        TermEpoch term, bool lost_before, TimePoint now) {
+  role.grants_may_be_lost = lost_before || !remembers_lost_grants(state);
   role.lost_grants_until =
       now + config::kMaxRenewalWithoutStore + longest_hold(state.settings);
   role.term_before_loss = term;
   role.lost_coordinators.clear();
   for (const auto& [name, daemon] : state.fleet.daemon_records) {
-    if (name != state.settings.self.name)
+    if (name != state.settings.self.name && !has_been_silent(state, name, now))
       role.lost_coordinators.push_back({name, daemon.incarnation});
   }
+  if (role.lost_coordinators.empty()) bound_lost_grants(state, role, now);
 }
 
 void start_coordinator_role(State& state, MapState& map,
@@ -72,12 +88,13 @@
   map.coordinated = map.map->term;
   if (map.map->grants_lost) {
     TermEpoch term_before = before ? before->term : TermEpoch();
-    expect_lost_grants(state, *map.coordinator_role, term_before, now);
-    if (before) {
+    // Grants lost before this daemon adopted the map are not those of which it
+    // knows that there are none.
+    bool lost_before = !before || before->grants_lost;
+    expect_lost_grants(state, *map.coordinator_role, term_before, lost_before,
+                       now);
+    if (before)
       map.coordinator_role->last_epoch_before_loss = before->last_epoch;
-      // Then the loss is not the one that this daemon knows of.
-      if (before->grants_lost) map.coordinator_role->grants_may_be_lost = true;
-    }
   }
   allow_orders_of_tick(state, *map.coordinator_role);
   if (before) {
@@ -372,14 +389,12 @@
   if (!has_not_coordinated) role.grants_may_be_lost = true;
   role.lost_coordinators.erase(found);
   if (!role.lost_coordinators.empty()) return;
-  Duration rest =
-      role.grants_may_be_lost ? longest_hold(state.settings) : Duration(0);
-  role.lost_grants_until = std::min(*role.lost_grants_until, now + rest);
+  bound_lost_grants(state, role, now);
   look_at_unconfirmed(role, now);
   log_event(effects, "lost_grants_bounded",
             {{"service", map.map->service.str()},
              {"term", text(map.map->term.value)},
-             {"wait", text(rest)}});
+             {"wait", text(*role.lost_grants_until - now)}});
 }
 
 }  // namespace
@@ -449,7 +464,10 @@
     map.known_before_restoration = was_latest && !missed_changes;
     if (map.must_verify) end_coordinator_role(map, "store_restored", effects);
     if (!map.coordinator_role) continue;
-    expect_lost_grants(state, *map.coordinator_role, map.map->term, now);
+    CoordinatorRole& role = *map.coordinator_role;
+    bool lost_before =
+        role.lost_grants_until.has_value() && now < *role.lost_grants_until;
+    expect_lost_grants(state, role, map.map->term, lost_before, now);
     log_event(effects, "map_lost",
               {{"service", service.str()},
                {"term", text(map.map->term.value)},
--- a/tests/store_restored_test.cc
+++ b/tests/store_restored_test.cc
@@ -94,6 +94,25 @@
     EXPECT_EQ(boards_[0]->ran.size(), ran) << "requests at a removed server";
   }
 
+  /// Counts grants of keys that another server holds.
+  void watch_owners() {
+    for (const auto& board : boards_) {
+      board->on_grant = [this, granted = board.get()](std::uint32_t first,
+                                                      std::uint32_t last,
+                                                      std::uint64_t) {
+        for (const auto& other : boards_) {
+          if (other.get() == granted) continue;
+          for (std::uint32_t key = first; key <= last; ++key) {
+            if (!other->holds(key)) continue;
+            ++grants_of_held_keys_;
+            return;
+          }
+        }
+      };
+    }
+  }
+
+  int grants_of_held_keys_ = 0;
   int version_ = 100;
   int requests_ = 0;
 };
@@ -120,6 +139,36 @@
   expect_changes_in_force();
 }
 
+// Guards against two owners after a restart from nothing but the copy.
+TEST_F(StoreRestored, RestartedDaemonsGrantNoKeysThatAreHeld) {
+  start_fleet(39);
+  watch_owners();
+  store_.take_copy();
+  list(*boards_[0], "board", "draining");
+  ASSERT_TRUE(run_until([&] {
+    std::size_t before = boards_[0]->ran.size();
+    return all_keys_served(callers(processes_[0]), "moved") &&
+           boards_[0]->ran.size() == before;
+  }));
+  store_.down = true;
+  for (Process& process : processes_) stop(process, SIGKILL);
+  store_.restore_copy();
+  wait(milliseconds(300));
+  store_.down = false;
+  processes_.clear();
+  for (int i = 0; i < 2; ++i) {
+    Process& process = start(39 + i);
+    ASSERT_TRUE(become_ready(process));
+  }
+  for (const Process& process : processes_) {
+    EXPECT_TRUE(
+        run_until([&] { return all_keys_served(callers(process), process.ip); },
+                  seconds(40)))
+        << process.ip;
+  }
+  EXPECT_EQ(grants_of_held_keys_, 0);
+}
+
 TEST_F(StoreRestored, StoreThatStatesNoEraIsServedAsBefore) {
   store_.era.reset();
   start_fleet(37);
