Apply only the last change of each server in an update

A relay that had been cut off from the store sent on all changes since then when it was back. Daemons that knew them already applied them once more: a server that had left was ready again, and its removal, which now seemed to belong to an outage, took effect up to 1.8 s later. Requests went to a server that was known to have left (DRAIN).

Of several changes of one server in an update only the last one is applied.

store_view_test: UpdateWithKnownChangesBringsNoServerBack fails without the change.

--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -102,6 +102,11 @@
              {"entry_age", text(now - entry.read_at)}});
 }
 
+const ServerName& changed_server(const ServerChange& change) {
+  const auto* server = std::get_if<Server>(&change);
+  return server == nullptr ? std::get<ServerName>(change) : server->name;
+}
+
 }  // namespace
 
 void index_servers(State& state) {
@@ -157,8 +162,14 @@
 
 void on_servers_changed(State& state, const std::vector<ServerChange>& changes,
                         TimePoint now, Effects& effects) {
+  // Only the last change of each server counts. This daemon may know the ones
+  // before, which would bring a server back that has left.
+  std::map<ServerName, const ServerChange*> last_changes;
+  for (const ServerChange& change : changes)
+    last_changes[changed_server(change)] = &change;
   bool must_index = false;
   for (const ServerChange& change : changes) {
+    if (last_changes.at(changed_server(change)) != &change) continue;
     if (const auto* server = std::get_if<Server>(&change)) {
       must_index = update_server(state, *server, now, effects) || must_index;
       continue;
--- a/tests/store_view_test.cc
+++ b/tests/store_view_test.cc
@@ -208,5 +208,20 @@
       0u);
 }
 
+// Guards against a relay that was cut off and sends changes which this daemon
+// has applied already.
+TEST_F(StoreViewTest, UpdateWithKnownChangesBringsNoServerBack) {
+  reduce(state_, StoreUpdateReceived{update(at(10), at(15))}, now_);
+  StoreUpdate removal = update(at(15), at(16));
+  removal.servers = {ServerName("s")};
+  reduce(state_, StoreUpdateReceived{removal}, now_);
+  now_ += seconds(1);
+  StoreUpdate both = update(at(10), at(17));
+  both.servers.emplace_back(ServerName("s"));
+  both.since_outage = Duration(0);
+  reduce(state_, StoreUpdateReceived{both}, now_);
+  EXPECT_TRUE(state_.servers.at(ServerName("s")).leaving);
+}
+
 }  // namespace
 }  // namespace eelgrasspin::fleet
