Confirm entries of a restored store only by reading it again

A daemon that was cut off from the store soon after it had listed a restored store used an outdated entry once the time had passed in which entries may be out of date, although it had not read the store since. It is used only if a read after that time still shows it; the same holds for the end of an evacuation.

--- a/src/fleet/evacuations.cc
+++ b/src/fleet/evacuations.cc
@@ -103,7 +103,7 @@
 
 void tick_evacuations(State& state, TimePoint now, Effects& effects) {
   if (!state.restored_at || state.evacuated_zones == state.listed_evacuations ||
-      lists_outdated_entries(state, now)) {
+      !is_settled(state, StoreView::kEvacuations, now)) {
     return;
   }
   adopt_zones(state, state.listed_evacuations, now, effects);
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -207,7 +207,7 @@
                  {"state", "gone"},
                  {"reason", "not_back_after_outage"}});
     }
-    if (entry.doubtful_entry && !lists_outdated_entries(state, now)) {
+    if (entry.doubtful_entry && is_settled(state, StoreView::kServers, now)) {
       Server listed = *entry.doubtful_entry;
       update_server(state, listed, now, effects);
       changed = true;
--- a/src/fleet/store_restoration.cc
+++ b/src/fleet/store_restoration.cc
@@ -6,6 +6,15 @@
 #include "fleet/ownership.h"
 
 namespace eelgrasspin::fleet {
+namespace {
+
+/// Time after a restoration in which entries may be out of date.
+Duration outdated_entries_time(const Settings& settings) {
+  return config::kEntryExpiryCheckIns * settings.registry_check_in +
+         config::kRegistryRecoveryTime;
+}
+
+}  // namespace
 
 StoreEra current_era(const State& state) {
   return state.store_era.value_or(StoreEra());
@@ -43,9 +52,16 @@
 
 bool lists_outdated_entries(const State& state, TimePoint now) {
   return state.restored_at &&
-         now - *state.restored_at <
-             config::kEntryExpiryCheckIns * state.settings.registry_check_in +
-                 config::kRegistryRecoveryTime;
+         now - *state.restored_at < outdated_entries_time(state.settings);
+}
+
+bool is_settled(const State& state, StoreView view, TimePoint now) {
+  if (lists_outdated_entries(state, now)) return false;
+  if (!state.restored_at || !state.watching) return true;
+  auto found = state.views.find(view);
+  return found != state.views.end() &&
+         found->second.answered_at - *state.restored_at >=
+             outdated_entries_time(state.settings);
 }
 
 bool remembers_lost_grants(const State& state) {
--- a/src/fleet/store_restoration.h
+++ b/src/fleet/store_restoration.h
@@ -18,6 +18,10 @@
 /// which their writers have changed or removed since the copy was taken.
 bool lists_outdated_entries(const State& state, TimePoint now);
 
+/// Whether the copy of that part of the store has outlived this time: it was
+/// read after it, by this daemon or by the relay that it follows.
+bool is_settled(const State& state, StoreView view, TimePoint now);
+
 /// Whether this daemon has run for so long before the last restoration that no
 /// grant of an earlier process of its name can have lasted until then.
 bool remembers_lost_grants(const State& state);
--- a/tests/store_restoration_test.cc
+++ b/tests/store_restoration_test.cc
@@ -57,6 +57,13 @@
     apply(ServersListed{std::move(servers), at(40, 2)});
     apply(ViewListed{StoreView::kServers, at(40, 2)});
   }
+  /// The store answers a watch without changes.
+  void answer_watch(StoreView view) {
+    StoreUpdate update;
+    update.view = view;
+    update.as_of = at(60, 2);
+    apply(StoreChanged{update});
+  }
   const ServerState& known() const { return state_.servers.at(kServer); }
   template <class T>
   static bool contains(const Effects& effects) {
@@ -125,9 +132,21 @@
   list({server()});
   EXPECT_FALSE(accepts_work(known()));
   run_for(seconds(8));
+  answer_watch(StoreView::kServers);
+  run_for(seconds(1));
   EXPECT_TRUE(accepts_work(known()));
 }
 
+// Guards against an outdated entry that is taken for confirmed by a daemon that
+// has not reached the store since it listed it.
+TEST_F(StoreRestoration, DaemonWithoutTheStoreConfirmsNoEntry) {
+  change(kServer, at(101, 1));
+  restore();
+  list({server()});
+  run_for(seconds(20));
+  EXPECT_FALSE(accepts_work(known()));
+}
+
 TEST_F(StoreRestoration, ServerThatWritesItsEntryAgainIsUsedAtOnce) {
   change(kServer, at(101, 1));
   restore();
@@ -156,6 +175,9 @@
   apply(EvacuationsListed{{}, at(40, 2)});
   EXPECT_FALSE(accepts_work(known()));
   run_for(seconds(8));
+  EXPECT_FALSE(accepts_work(known()));
+  answer_watch(StoreView::kEvacuations);
+  run_for(seconds(1));
   EXPECT_TRUE(accepts_work(known()));
 }
 
