--- a/tests/answer_status_test.cc
+++ b/tests/answer_status_test.cc
@@ -207,12 +207,27 @@
   store_.put(kConfigKind, kActiveConfigName, json::serialize(added));
   store_.put(kServersKind, "i-odd", entry.entry("book", "ready"));
   ASSERT_TRUE(become_ready(process));
-  for (int i = 0; i < 20; ++i) {
+  // Requests at the same time are spread over all three servers.
+  for (const auto& book : books_) book->work = milliseconds(150);
+  constexpr std::size_t kParallelRequests = 6;
+  std::vector<std::shared_ptr<io::HttpConnection>> connections;
+  std::vector<io::HttpResult> results;
+  for (std::size_t i = 0; i < kParallelRequests; ++i) {
     io::HttpRequest request = once("safe-" + std::to_string(i));
     request.target = "/s/x";
-    EXPECT_EQ(status(callers(process), request), 200);
+    connections.push_back(io::make_http_connection(io_, callers(process)));
+    connections.back()->exchange(
+        request, seconds(3),
+        [&](io::HttpResult ended) { results.push_back(std::move(ended)); });
+  }
+  run_until([&] { return results.size() == kParallelRequests; });
+  ASSERT_EQ(results.size(), kParallelRequests);
+  for (const io::HttpResult& result : results) {
+    ASSERT_TRUE(std::holds_alternative<io::HttpResponse>(result));
+    EXPECT_EQ(std::get<io::HttpResponse>(result).status, 200);
   }
   EXPECT_GT(server.requests(), 0u);
+  for (const auto& connection : connections) connection->close();
 }
 
 }  // namespace
