--- a/src/fleet/store_restoration.h
+++ b/src/fleet/store_restoration.h
@@ -18,8 +18,9 @@
 /// which their writers have changed or removed since the copy was taken.
 bool lists_outdated_entries(const State& state, TimePoint now);
 
-/// Whether the copy of that part of the store has outlived this time: it was
-/// read after it, by this daemon or by the relay that it follows.
+/// Whether a copy of that part of the store no longer holds outdated entries:
+/// lists_outdated_entries() is over, and the copy was read since, by this
+/// daemon or by the relay that it follows.
 bool is_settled(const State& state, StoreView view, TimePoint now);
 
 /// Whether this daemon has run for so long before the last restoration that no
