Do not complete an answer by the end of a connection that was reset

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got the part as a complete, stamped 200.

Cause: an answer without a length ends with its connection, and Connection took the end of the stream for that end without proof that the connection had ended in order. The system reports the reset once. During an upload the pending write gets the error; on_sent() ignored it while a read was pending, as a server may answer and close early, and the read then saw a plain end of the stream.

Change: a failed write is remembered until the end of its exchange, and parse_eof() completes no answer then (kTruncated: 502, or another send of a repeatable request). A connection whose write failed is not reused. If the stream ends while a write is pending, the end is handled behind the handlers that are queued, one of which may be that of a failed write.

Why this suffices: a reset before the end of the stream (FIN) gives its error to the first read or write after it. A read that gets it fails; a write that gets it is now known when the end is handled. An end without a failed write is one that the server sent. The client is the same for servers, orders to them and the store.

An early answer without a length from a server that closes in order and whose system then resets the rest of the upload is complete or 502, by what is handled first: RFC 9112, 9.6 names that risk for servers that do not read on.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -178,6 +178,7 @@
     phase_ = Phase::kSending;
     first_byte_seen_ = false;
     writing_ = true;
+    write_failed_ = false;
     new_parser();
     auto request = std::exchange(request_, nullptr);
     auto message =
@@ -191,6 +192,7 @@
 
   void on_sent(error_code failed) {
     writing_ = false;
+    write_failed_ = failed.failed();
     // The server may answer and close before it has read the whole request.
     if (failed && done_ && !reading_) {
       fail(HttpFailureKind::kClosed, failed.message());
@@ -237,6 +239,19 @@
   }
 
   void on_read(error_code failed, std::size_t count) {
+    // The error of a reset connection is reported once. If a write got it, the
+    // read sees the end of the stream, and the write's handler may still be
+    // queued.
+    if (failed == asio::error::eof && writing_) {
+      return asio::post(socket_.get_executor(),
+                        [self = shared_from_this(), failed] {
+                          self->handle_read(failed, 0);
+                        });
+    }
+    handle_read(failed, count);
+  }
+
+  void handle_read(error_code failed, std::size_t count) {
     reading_ = false;
     if (phase_ == Phase::kClosed) return;
     if (phase_ == Phase::kIdle)
@@ -290,11 +305,12 @@
             message[http::field::content_length] == "0");
   }
 
-  /// A response without a length ends with the connection.
+  /// A response without a length ends with the connection, unless that was
+  /// reset (RFC 9112, 8). A failed write shows a reset that the read does not.
   void parse_eof() {
     error_code failed;
     parser_->put_eof(failed);
-    if (failed || !parser_->is_done()) {
+    if (failed || !parser_->is_done() || write_failed_) {
       return fail(HttpFailureKind::kTruncated,
                   "connection closed before the end of the response");
     }
@@ -327,7 +343,7 @@
     phase_ = Phase::kIdle;
     // Bytes after the response belong to no request: the framing may be wrong.
     if (!message.keep_alive() || buffer_.size() > 0 || writing_ ||
-        skipped_response_count_ > 0) {
+        write_failed_ || skipped_response_count_ > 0) {
       close_socket();
     } else {
       wait_idle();
@@ -366,6 +382,7 @@
   bool first_byte_seen_ = false;
   bool is_head_request_ = false;
   bool writing_ = false;
+  bool write_failed_ = false;  ///< Of the last request that was sent.
   std::uint32_t skipped_response_count_ = 0;
 };
 
--- a/tests/platform_processes.h
+++ b/tests/platform_processes.h
@@ -66,6 +66,28 @@
     store_.put(kServersKind, server.name(), server.entry(service, state));
   }
 
+  /// Makes the server at this address the only one of once-only requests, and
+  /// of repeatable ones below /s/. Bodies may have `max_body_bytes`.
+  void list_only_server(const Endpoint& address,
+                        std::size_t max_body_bytes = 1'000'000) {
+    json::object configuration = json::parse(kConfiguration).as_object();
+    configuration["limits"].as_object()["bodyBytes"] = max_body_bytes;
+    json::array& rules = configuration["listeners"]
+                             .as_array()[0]
+                             .as_object()["rules"]
+                             .as_array();
+    json::object rule = rules[1].as_object();
+    rule["name"] = "repeatable";
+    rule["kind"] = "safe";
+    rule["match"] = json::object{{"prefix", "/s/"}};
+    rules.push_back(rule);
+    store_.put(kConfigKind, kActiveConfigName, json::serialize(configuration));
+    for (const auto& book : books_) store_.remove(kServersKind, book->name());
+    ServerStandin entry(io_, "i-only", false);
+    entry.address = address;
+    store_.put(kServersKind, entry.name(), entry.entry("book", "ready"));
+  }
+
   Endpoint callers(const Process& process) const {
     return Endpoint(process.ip + ":" + std::to_string(port_));
   }
