Take no answer with a folded header line

Callers saw: an answer in whose header a line began with a blank or a tab was passed on with that line joined to the field before it. After the response stamp, the stamp arrived changed. With the length in such a line, on a kept connection, the caller waited until its deadline and got 504.

Cause: the parser accepts the old line folding of HTTP and joins the line to the field before it. The server, or another reader, may mean a field of its own.

Change: scan_header() looks at the bytes that the parser takes of a header. A line that begins with white space ends the exchange as kTruncated: 502 at once, or another send of a repeatable request. RFC 9112, 5.2, allows a gateway to discard such a response or to replace the folds; the second would still pass on a field, or miss a length, that the server may not have meant.

Why this suffices: every byte of each header, also of interim answers, passes through the scan, in whatever pieces it arrives.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <optional>
+#include <string_view>
 
 #include "io/endpoint.h"
 
@@ -48,6 +49,27 @@
   return message;
 }
 
+/// What scan_header() has seen of a message header.
+struct HeaderScan {
+  char last = 0;
+  bool ended = false;
+  /// A line begins with white space, so that it continues the one before it
+  /// (obs-fold, RFC 9112, 5.2).
+  bool has_folded_line = false;
+};
+
+/// Scans the next bytes of a message up to the end of its header.
+void scan_header(HeaderScan& scan, std::string_view bytes) {
+  for (char byte : bytes) {
+    if (scan.ended) return;
+    if (scan.last == '\n') {
+      scan.ended = byte == '\r';
+      if (byte == ' ' || byte == '\t') scan.has_folded_line = true;
+    }
+    scan.last = byte;
+  }
+}
+
 class Connection : public HttpConnection,
                    public std::enable_shared_from_this<Connection> {
  public:
@@ -201,6 +223,7 @@
 
   void new_parser() {
     body_share_.set(0);
+    header_scan_ = {};
     parser_.emplace();
     parser_->header_limit(config::kMaxHeaderBytes);
     parser_->body_limit(config::kMaxAnswerBytes);
@@ -269,9 +292,17 @@
 
   void parse() {
     error_code failed;
-    buffer_.consume(parser_->put(buffer_.data(), failed));
+    std::size_t used = parser_->put(buffer_.data(), failed);
+    scan_header(header_scan_,
+                {static_cast<const char*>(buffer_.data().data()), used});
+    buffer_.consume(used);
     if (failed == http::error::need_more) failed = {};
     if (failed) return fail(HttpFailureKind::kTruncated, failed.message());
+    // The parser joins the line to the field before it. Read as a field of its
+    // own, it could state another length.
+    if (header_scan_.has_folded_line) {
+      return fail(HttpFailureKind::kTruncated, "folded header line");
+    }
     if (parser_->is_header_done() && !is_usable()) {
       return fail(HttpFailureKind::kTruncated,
                   "status " + std::to_string(parser_->get().result_int()));
@@ -372,6 +403,7 @@
   ByteShare body_share_;  ///< Of the response that is being read.
   std::shared_ptr<const HttpRequest> request_;  ///< Until it is sent.
   std::optional<http::response_parser<http::string_body>> parser_;
+  HeaderScan header_scan_;
   HttpCallback done_;
   HttpExchangeChecks checks_;
   std::chrono::steady_clock::time_point exchange_deadline_;
