--- a/tests/incomplete_answer_test.cc
+++ b/tests/incomplete_answer_test.cc
@@ -23,8 +23,8 @@
 constexpr std::size_t kPartBytes = 3000;
 
 const std::string& upload() {
-  static const std::string bytes(kUploadBytes, 'u');
-  return bytes;
+  static const std::string kBytes(kUploadBytes, 'u');
+  return kBytes;
 }
 std::string part(char filling = 'p') {
   return std::string(kPartBytes, filling);
