--- a/tests/answer_header_test.cc
+++ b/tests/answer_header_test.cc
@@ -44,7 +44,9 @@
 
 class AnswerHeaderOnConnection : public ::testing::Test {
  protected:
-  ~AnswerHeaderOnConnection() override { connection_->close(); }
+  ~AnswerHeaderOnConnection() override {
+    if (connection_) connection_->close();
+  }
 
   void start_exchange(const Endpoint& server) {
     if (connection_) connection_->close();
--- a/tests/answer_status_test.cc
+++ b/tests/answer_status_test.cc
@@ -195,15 +195,8 @@
   OddServer server(io_, "000", kForms[0], true);
   ServerStandin entry(io_, "i-odd", true);
   entry.address = server.endpoint();
-  json::object added = json::parse(kConfiguration).as_object();
+  json::object added = configuration_with_repeatable_route();
   added["version"] = 8;
-  json::array& rules =
-      added["listeners"].as_array()[0].as_object()["rules"].as_array();
-  json::object rule = rules[1].as_object();
-  rule["name"] = "safe";
-  rule["kind"] = "safe";
-  rule["match"] = json::object{{"prefix", "/s/"}};
-  rules.push_back(rule);
   store_.put(kConfigKind, kActiveConfigName, json::serialize(added));
   store_.put(kServersKind, "i-odd", entry.entry("book", "ready"));
   ASSERT_TRUE(become_ready(process));
--- a/tests/platform_processes.h
+++ b/tests/platform_processes.h
@@ -66,12 +66,9 @@
     store_.put(kServersKind, server.name(), server.entry(service, state));
   }
 
-  /// Makes the server at this address the only one of once-only requests, and
-  /// of repeatable ones below /s/. Bodies may have `max_body_bytes`.
-  void list_only_server(const Endpoint& address,
-                        std::size_t max_body_bytes = 1'000'000) {
+  /// kConfiguration with repeatable requests to `book` below /s/.
+  static json::object configuration_with_repeatable_route() {
     json::object configuration = json::parse(kConfiguration).as_object();
-    configuration["limits"].as_object()["bodyBytes"] = max_body_bytes;
     json::array& rules = configuration["listeners"]
                              .as_array()[0]
                              .as_object()["rules"]
@@ -81,6 +78,15 @@
     rule["kind"] = "safe";
     rule["match"] = json::object{{"prefix", "/s/"}};
     rules.push_back(rule);
+    return configuration;
+  }
+
+  /// Makes the server at this address the only one of `book`, which also gets
+  /// repeatable requests below /s/. Bodies may have `max_body_bytes`.
+  void list_only_server(const Endpoint& address,
+                        std::size_t max_body_bytes = 1'000'000) {
+    json::object configuration = configuration_with_repeatable_route();
+    configuration["limits"].as_object()["bodyBytes"] = max_body_bytes;
     store_.put(kConfigKind, kActiveConfigName, json::serialize(configuration));
     for (const auto& book : books_) store_.remove(kServersKind, book->name());
     ServerStandin entry(io_, "i-only", false);
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -35,8 +35,8 @@
   std::string header;  ///< Status line and fields with their line ends.
   std::vector<std::string> body_parts;  ///< Sent one after the other.
   ConnectionEnd end = ConnectionEnd::kKept;
-  Duration end_delay{0};  ///< Between the last part and the end.
-  bool after_whole_request = false;
+  Duration end_delay{0};             ///< Between the last part and the end.
+  bool after_whole_request = false;  ///< Otherwise after its header.
 };
 
 /// A server that sends the bytes of an answer as they are given. It keeps
@@ -92,7 +92,7 @@
     std::array<char, 64 * 1024> buffer{};
     std::string header;  ///< Of the request.
     std::size_t body_bytes_left = 0;
-    bool answering = false;
+    bool answering = false;  ///< Further input is the rest of the request.
     bool abandoned = false;  ///< The server is gone.
   };
   using PeerPointer = std::shared_ptr<Peer>;
