Names and comments of the tests of broken answers

Change: names, comments, one function split, one sentence; no check and no statement of the program changes. answer_header_test and incomplete_answer_test pass three times each.

Tests that failed before their fix, by their present names: of incomplete_answer_test ResetDuringTheUploadCompletesNoAnswer, CloseWithUnreadUploadCompletesNoAnswer, ResetBetweenAnyTwoHandlersCompletesNoAnswer and CallerGetsNoPartOfAnAnswer; of answer_header_test the three FoldedLine tests and CallerGetsNoAnswerWithAMalformedHeader. OrdersAndStoreCallsGetNoPartOfAnAnswer was written after the fix and not run on the code before.

--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -298,8 +298,8 @@
     buffer_.consume(used);
     if (failed == http::error::need_more) failed = {};
     if (failed) return fail(HttpFailureKind::kTruncated, failed.message());
-    // The parser joins the line to the field before it. Read as a field of its
-    // own, it could state another length.
+    // The parser joins a folded line to the field before it. Read as a field of
+    // its own, the line could state another length.
     if (header_scan_.has_folded_line) {
       return fail(HttpFailureKind::kTruncated, "folded header line");
     }
--- a/tests/answer_header_test.cc
+++ b/tests/answer_header_test.cc
@@ -17,15 +17,15 @@
 
 std::string body() { return std::string(kBodyBytes, 'b'); }
 
-/// Lines that are no fields, without their ends.
-std::vector<std::string> lines_without_a_name() {
+/// Lines whose field name is malformed or missing, without their line ends.
+std::vector<std::string> malformed_fields() {
   return {"X Odd: v",    "X-Odd : v",    "X-Odd\t: v",   "X-O\001dd: v",
           "X-O\0dd: v"s, "X-O\013dd: v", "X-O\177dd: v", "X-O\rdd: v",
           "X-O\ndd: v",  "X-O\351dd: v", ": v",          "X-Odd"};
 }
 
-/// Lines that a lenient reader takes for the framing of the body.
-std::vector<std::string> lines_like_framing() {
+/// Malformed lines that a lenient reader takes for the framing of the body.
+std::vector<std::string> malformed_framing_fields() {
   return {"Content-Length : 3000",       "Content-Length\t: 3000",
           "Content-\001Length: 3000",    "Content-Length\0: 3000"s,
           "Transfer-Encoding : chunked", "Transfer-\001Encoding: chunked"};
@@ -82,8 +82,8 @@
   std::optional<HttpResult> result_;
 };
 
-TEST_F(AnswerHeaderOnConnection, LineWithoutAFieldNameFailsAtOnce) {
-  for (const std::string& line : lines_without_a_name()) {
+TEST_F(AnswerHeaderOnConnection, MalformedFieldNameFailsAtOnce) {
+  for (const std::string& line : malformed_fields()) {
     for (const std::string& header : headers_with(line)) {
       SCOPED_TRACE(::testing::PrintToString(header));
       expect_failure({header, {body()}});
@@ -91,8 +91,8 @@
   }
 }
 
-TEST_F(AnswerHeaderOnConnection, LineLikeFramingFailsAtOnce) {
-  for (const std::string& line : lines_like_framing()) {
+TEST_F(AnswerHeaderOnConnection, MalformedFramingFieldFailsAtOnce) {
+  for (const std::string& line : malformed_framing_fields()) {
     SCOPED_TRACE(::testing::PrintToString(line));
     expect_failure({kStatusLine + line + "\r\n", {body()}});
     for (const std::string& header : headers_with(line)) {
@@ -101,8 +101,8 @@
   }
 }
 
-TEST_F(AnswerHeaderOnConnection, TrailerWithoutAFieldNameFailsAtOnce) {
-  for (const std::string& line : lines_without_a_name()) {
+TEST_F(AnswerHeaderOnConnection, MalformedTrailerFailsAtOnce) {
+  for (const std::string& line : malformed_fields()) {
     SCOPED_TRACE(::testing::PrintToString(line));
     expect_failure({std::string(kStatusLine) + "Transfer-Encoding: chunked\r\n",
                     {"bb8\r\n" + body() + "\r\n0\r\n" + line + "\r\n\r\n"}});
@@ -156,7 +156,7 @@
   }
 }
 
-TEST_F(AnswerHeaderOnConnection, BlanksThatFoldNothingAreNoFailure) {
+TEST_F(AnswerHeaderOnConnection, WhiteSpaceOutsideOfLineStartsIsNoFold) {
   const std::string blank_lines = "\r\n b\r\n\tb";
   const std::string text = blank_lines + body().substr(blank_lines.size());
   RawServer server(io_, {std::string(kStatusLine) + "X-Field:  v w\t\r\n" +
@@ -182,7 +182,7 @@
   }
 };
 
-TEST_F(AnswerHeader, CallerIsAnswered502AtOnce) {
+TEST_F(AnswerHeader, CallerGetsNoAnswerWithAMalformedHeader) {
   RawServer server(io_, {});
   Process& process = start_with(53, server);
   std::vector<std::string> headers;
--- a/tests/incomplete_answer_test.cc
+++ b/tests/incomplete_answer_test.cc
@@ -17,7 +17,8 @@
 using io::HttpResponse;
 using io::HttpResult;
 
-/// More than the systems of both sides buffer if the server does not read.
+/// More than the socket buffers of both sides hold, so that the write is still
+/// pending when the server resets the connection.
 constexpr std::size_t kUploadBytes = 16 * 1024 * 1024;
 constexpr int kReceiveBufferBytes = 4096;
 constexpr std::size_t kPartBytes = 3000;
@@ -95,7 +96,7 @@
   std::shared_ptr<io::HttpConnection> connection_;
 };
 
-TEST_F(IncompleteAnswerOnConnection, ResetDuringTheUploadCompletesNothing) {
+TEST_F(IncompleteAnswerOnConnection, ResetDuringTheUploadCompletesNoAnswer) {
   for (auto forms : {forms_without_length(), forms_with_length()}) {
     for (AnswerForm& form : forms) {
       for (int delay_ms : {0, 1, 20, 200}) {
@@ -109,7 +110,7 @@
   }
 }
 
-TEST_F(IncompleteAnswerOnConnection, CloseDuringTheUploadCompletesNothing) {
+TEST_F(IncompleteAnswerOnConnection, CloseWithUnreadUploadCompletesNoAnswer) {
   // Closing with unread input resets the connection.
   for (AnswerForm& form : forms_without_length()) {
     SCOPED_TRACE(form.name);
@@ -119,7 +120,7 @@
   }
 }
 
-TEST_F(IncompleteAnswerOnConnection, ResetAfterTheUploadCompletesNothing) {
+TEST_F(IncompleteAnswerOnConnection, ResetAfterTheUploadCompletesNoAnswer) {
   for (AnswerForm& form : forms_without_length()) {
     SCOPED_TRACE(form.name);
     form.answer.after_whole_request = true;
@@ -130,7 +131,7 @@
 }
 
 /// Orders to servers and calls to the store go through HttpClient.
-TEST_F(IncompleteAnswerOnConnection, ClientOfOrdersAndTheStoreGetsNoPart) {
+TEST_F(IncompleteAnswerOnConnection, OrdersAndStoreCallsGetNoPartOfAnAnswer) {
   RawAnswer answer = {"HTTP/1.1 200 OK\r\n", {part()}};
   answer.end = ConnectionEnd::kReset;
   answer.end_delay = milliseconds(20);
@@ -196,7 +197,7 @@
 };
 
 TEST(IncompleteAnswerBetweenHandlers,
-     ResetBetweenAnyTwoHandlersCompletesNothing) {
+     ResetBetweenAnyTwoHandlersCompletesNoAnswer) {
   constexpr int kMaxHandlers = 100;
   ResetBetweenHandlers server;
   for (int handlers = 0; handlers < kMaxHandlers; ++handlers) {
@@ -206,7 +207,7 @@
   }
 }
 
-TEST_F(IncompleteAnswerOnConnection, CloseAfterTheUploadEndsAnAnswer) {
+TEST_F(IncompleteAnswerOnConnection, CloseAfterTheUploadCompletesTheAnswer) {
   RawAnswer answer = {"HTTP/1.1 200 OK\r\n", {part(), part('q')}};
   answer.after_whole_request = true;
   answer.end = ConnectionEnd::kClosed;
@@ -215,7 +216,8 @@
   EXPECT_EQ(server.body_bytes_read(), kUploadBytes);
 }
 
-TEST_F(IncompleteAnswerOnConnection, HalfCloseDuringTheUploadEndsAnAnswer) {
+TEST_F(IncompleteAnswerOnConnection,
+       HalfCloseDuringTheUploadCompletesTheAnswer) {
   for (int delay_ms : {0, 20}) {
     RawAnswer answer = {"HTTP/1.1 200 OK\r\n", {part(), part('q')}};
     answer.end = ConnectionEnd::kHalfClosed;
@@ -225,7 +227,7 @@
   }
 }
 
-TEST_F(IncompleteAnswerOnConnection, ResetAfterACompleteAnswerLeavesIt) {
+TEST_F(IncompleteAnswerOnConnection, ResetAfterACompleteAnswerKeepsIt) {
   for (const RawAnswer& complete :
        {RawAnswer{"HTTP/1.1 200 OK\r\nContent-Length: 3000\r\n", {part()}},
         RawAnswer{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -35,13 +35,15 @@
   std::string header;  ///< Status line and fields with their line ends.
   std::vector<std::string> body_parts;  ///< Sent one after the other.
   ConnectionEnd end = ConnectionEnd::kKept;
-  Duration end_delay{0};             ///< Between the last part and the end.
-  bool after_whole_request = false;  ///< Otherwise after its header.
+  Duration end_delay{0};  ///< Between the last part and the end.
+  /// Answers once it has read the whole request, otherwise after the header.
+  bool after_whole_request = false;
 };
 
-/// A server that sends the bytes of an answer as they are given. It keeps
-/// `receive_buffer_bytes` of a request that it does not read; 0: as many as the
-/// system does.
+/// A server that sends the bytes of an answer as they are given.
+/// `receive_buffer_bytes` is the size of its sockets' receive buffers; 0: the
+/// system's default. With a small one, an upload that it does not read stays
+/// with its sender.
 class RawServer {
  public:
   RawServer(boost::asio::io_context& io, RawAnswer answer,
@@ -123,18 +125,8 @@
     }
     if (peer->body_bytes_left > 0) {
       count_body(*peer, bytes.size());
-    } else {
-      peer->header.append(bytes);
-      std::size_t end = peer->header.find("\r\n\r\n");
-      if (end == std::string::npos) return read(peer);
-      end += 4;
-      ++requests_;
-      std::size_t surplus = peer->header.size() - end;
-      peer->header.resize(end);
-      peer->body_bytes_left =
-          io::parse_number(request_field("Content-Length", peer->header))
-              .value_or(0);
-      count_body(*peer, surplus);
+    } else if (!complete_header(*peer, bytes)) {
+      return read(peer);
     }
     if (answer_.after_whole_request && peer->body_bytes_left > 0) {
       return read(peer);
@@ -142,6 +134,22 @@
     answer(peer);
   }
 
+  /// Adds bytes to the request's header. Those after its end are of the body.
+  bool complete_header(Peer& peer, std::string_view bytes) {
+    peer.header.append(bytes);
+    std::size_t end = peer.header.find("\r\n\r\n");
+    if (end == std::string::npos) return false;
+    end += 4;
+    ++requests_;
+    std::size_t surplus_bytes = peer.header.size() - end;
+    peer.header.resize(end);
+    peer.body_bytes_left =
+        io::parse_number(request_field("Content-Length", peer.header))
+            .value_or(0);
+    count_body(peer, surplus_bytes);
+    return true;
+  }
+
   void count_body(Peer& peer, std::size_t bytes) {
     body_bytes_read_ += bytes;
     peer.body_bytes_left -= std::min(peer.body_bytes_left, bytes);
