Review case 12: the case of routers that lose power gets this number

Cause: a graver case takes number 11. Added: nothing but a network of its own, and routers that end with the script.

--- a/review/11/case.cpp
+++ b/review/12/case.cpp
@@ -7,7 +7,7 @@
 using namespace review;  // NOLINT
 
 int run(const std::string& folder) {
-  Bench bench(folder, 31);
+  Bench bench(folder, 32);
   std::vector<std::unique_ptr<ServerStandin>> boards;
   HolderCheck check(bench.record, {});
   int begun_on_held = 0;
--- a/review/kit-3.hpp
+++ b/review/kit-3.hpp
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -146,6 +147,8 @@
     std::string log = folder_log_ + router.name + ".log";
     pid_t pid = ::fork();
     if (pid == 0) {
+      // It ends with this process, however that ends.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       const char* kept = std::getenv("KEEP_LOGS");
       int out = ::open(kept == nullptr ? "/dev/null" : log.c_str(),
                        O_WRONLY | O_CREAT | O_APPEND, 0644);
