--- a/review/kit-3.hpp
+++ b/review/kit-3.hpp
@@ -14,6 +14,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "io/endpoint.h"
@@ -40,7 +41,9 @@
 /// Writes record.txt. Times are seconds since the start of the script.
 class Record {
  public:
-  explicit Record(const std::string& path) : file_(path, std::ios::trunc) {}
+  explicit Record(const std::string& path)
+      : file_(path, std::exchange(begun_, true) ? std::ios::app
+                                                : std::ios::trunc) {}
   void line(const std::string& text) {
     char time[32];
     std::snprintf(time, sizeof time, "%8.3f  ", seconds_now());
@@ -51,6 +54,7 @@
   }
 
  private:
+  static inline bool begun_ = false;  ///< By a part of the script before.
   std::ofstream file_;
   TimePoint started_ = io::steady_now();
 };
