--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -1,5 +1,5 @@
 // A drill takes the store back to a copy from before the owner map was first
-// written, while the routers lose power.
+// written, while all routers are killed.
 #include "review/kit-3.hpp"
 
 namespace {
@@ -56,6 +56,8 @@
     std::uint32_t key = static_cast<std::uint32_t>(++sent) * 7919 % 65'536;
     std::string id = "r" + std::to_string(sent);
     Router& router = bench.routers[static_cast<std::size_t>(sent) % 2];
+    bench.record.line("request " + id + " sent to " + router.name + ", key " +
+                      std::to_string(key));
     bench.send(router, keyed_request(id, key), seconds(3),
                [&, id](io::HttpResult result) {
                  const auto* answer = std::get_if<io::HttpResponse>(&result);
@@ -78,7 +80,7 @@
   if (check.longest() > milliseconds(0)) return kCouldNotRun;
   if (with_trouble()) {
     bench.record.line(
-        "drill: the store is away, and the routers lose power; the copy is " +
+        "drill: the store is away, and the routers are killed; the copy is " +
         std::to_string((io::steady_now() - copied_at).count() / 1000) +
         " ms old");
     bench.store.down = true;
@@ -105,4 +107,6 @@
 
 }  // namespace
 
-int main(int, char** arguments) { return run(arguments[1]); }
+int main(int, char** arguments) {
+  return run_case([&] { return run(arguments[1]); });
+}
--- a/review/kit-3.hpp
+++ b/review/kit-3.hpp
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <functional>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -33,6 +34,33 @@
 inline constexpr int kBroken = 1;
 inline constexpr int kCouldNotRun = 2;
 
+/// Longest time that a script may run.
+inline constexpr unsigned kMaxSeconds = 110;
+
+inline volatile std::sig_atomic_t interrupted = 0;
+
+/// Makes a signal, the end of the time and the end of the shell end the script
+/// in order: run_for() throws, and ~Bench ends the routers.
+inline void handle_interruptions() {
+  for (int number : {SIGINT, SIGTERM, SIGHUP, SIGALRM})
+    ::signal(number, [](int) { interrupted = 1; });
+  ::prctl(PR_SET_PDEATHSIG, SIGTERM);
+  if (::getppid() == 1) interrupted = 1;
+  ::alarm(kMaxSeconds);
+}
+
+/// Runs a case. Without a result it could not run.
+template <class Case>
+int run_case(Case run) {
+  handle_interruptions();
+  try {
+    return run();
+  } catch (const std::exception& failure) {
+    std::fprintf(stderr, "%s\n", failure.what());
+    return kCouldNotRun;
+  }
+}
+
 inline bool with_trouble() {
   const char* value = std::getenv("TROUBLE");
   return value == nullptr || std::string(value) != "0";
@@ -153,6 +181,7 @@
     if (pid == 0) {
       // It ends with this process, however that ends.
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+      if (::getppid() == 1) ::_exit(127);
       const char* kept = std::getenv("KEEP_LOGS");
       int out = ::open(kept == nullptr ? "/dev/null" : log.c_str(),
                        O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -206,6 +235,7 @@
     while (io::steady_now() < end) {
       io.run_for(std::chrono::milliseconds(2));
       io.restart();
+      if (interrupted != 0) throw std::runtime_error("interrupted");
       if (each) each();
     }
   }
