Recall all keys before a first owner map is served

Cause: a daemon that finds no map in the store took the service for one that never had a map. Its first map had higher epochs, but nobody made the holders of the lost map's grants stop, and nobody waited for them.

Change: every first map states grants_lost, and its coordinator has every listed server release all keys, at an epoch above those of earlier eras, before it grants any. Servers whose entries are missing have as long to register again as after an outage, unless the platform states the first start of the whole system. Without an answer of a server, keys wait for the longest grant, as after other losses. A successor asks again.

--- /dev/null
+++ b/src/fleet/key_recall.cc
@@ -0,0 +1,122 @@
+#include "fleet/key_recall.h"
+
+#include <algorithm>
+
+#include "fleet/leases.h"
+#include "fleet/leases_p.h"
+#include "fleet/log_event.h"
+#include "fleet/registry.h"
+
+namespace eelgrasspin::fleet {
+namespace {
+
+/// Adds the servers that are listed now. One that has started again since it
+/// was asked is asked again: a late grant may reach its new incarnation.
+void add_targets(const State& state, const ServiceName& service,
+                 KeyRecall& recall) {
+  auto listed = state.by_service.find(service);
+  if (listed == state.by_service.end()) return;
+  for (const ServerName& name : listed->second) {
+    Incarnation incarnation = state.servers.at(name).server.incarnation;
+    KeyRecall::Target& target = recall.targets[name];
+    if (target.incarnation != incarnation) target = {incarnation};
+  }
+}
+
+/// Whether a release may be sent to the server now.
+bool may_send(const State& state, const CoordinatorRole& role,
+              const ServerName& server, TimePoint now) {
+  if (state.next_order >= role.order_limit || is_at_limit(state.orders, true))
+    return false;
+  auto target = role.targets.find(server);
+  if (target == role.targets.end() || !is_silent(target->second)) return true;
+  return now >= target->second.next_probe_at &&
+         state.orders.probes < config::kMaxProbesInFlight;
+}
+
+void send_release(State& state, const ServiceName& service,
+                  CoordinatorRole& role, const ServerName& name,
+                  KeyRecall::Target& target, TimePoint now, Effects& effects) {
+  const ShardKey first(0);
+  const ShardKey last(kMaxShardKey);
+  Epoch epoch = role.recall->epoch;
+  target.pending_order = add_order(state, role,
+                                   {service,
+                                    true,
+                                    {name, target.incarnation},
+                                    first,
+                                    last,
+                                    epoch,
+                                    now,
+                                    Duration(0)});
+  effects.emplace_back(ReleaseKeys{target.pending_order, name,
+                                   state.servers.at(name).server.address, first,
+                                   last, epoch});
+}
+
+void end_recall(CoordinatorRole& role, const ServiceName& service,
+                std::string_view reason, TimePoint now, Effects& effects) {
+  const KeyRecall& recall = *role.recall;
+  auto released =
+      std::count_if(recall.targets.begin(), recall.targets.end(),
+                    [](const auto& item) { return item.second.released; });
+  log_event(effects, "keys_recalled",
+            {{"service", service.str()},
+             {"epoch", text(recall.epoch.value)},
+             {"servers", text(recall.targets.size())},
+             {"released", std::to_string(released)},
+             {"took", text(now - recall.started_at)},
+             {"reason", std::string(reason)}});
+  role.recall.reset();
+  role.lost_grants_until = now;
+  look_at_unconfirmed(role, now);
+}
+
+}  // namespace
+
+void start_recall(CoordinatorRole& role, const OwnerMap& map, TimePoint now) {
+  Epoch lowest = map.last_epoch;
+  for (const KeyRange& range : map.ranges)
+    lowest = std::min(lowest, range.epoch);
+  role.recall.emplace();
+  role.recall->epoch = Epoch(lowest.value - 1);
+  role.recall->started_at = now;
+}
+
+void send_recalls(State& state, const ServiceName& service, MapState& map,
+                  TimePoint now, Effects& effects) {
+  CoordinatorRole& role = *map.coordinator_role;
+  if (!role.lost_grants_until || now >= *role.lost_grants_until)
+    return end_recall(role, service, "expired", now, effects);
+  KeyRecall& recall = *role.recall;
+  add_targets(state, service, recall);
+  bool all_released = true;
+  for (auto& [name, target] : recall.targets) {
+    if (target.released) continue;
+    all_released = false;
+    if (target.pending_order != 0 || now < target.next_order_at ||
+        state.servers.count(name) == 0 || !may_send(state, role, name, now)) {
+      continue;
+    }
+    send_release(state, service, role, name, target, now, effects);
+  }
+  // A server whose entry the store has lost may hold keys as well.
+  if (all_released && entries_have_returned(state, now))
+    end_recall(role, service, "released", now, effects);
+}
+
+void on_recall_ended(CoordinatorRole& role, const Order& order,
+                     const OrderEnded& ended, TimePoint now) {
+  auto found = role.recall->targets.find(order.server.name);
+  if (found == role.recall->targets.end() ||
+      found->second.pending_order != ended.order) {
+    return;
+  }
+  KeyRecall::Target& target = found->second;
+  target.pending_order = 0;
+  target.next_order_at = now + config::kOrderRetryDelay;
+  target.released = ended.result == OrderResult::kDone ||
+                    ended.result == OrderResult::kOtherServer;
+}
+
+}  // namespace eelgrasspin::fleet
--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "fleet/duration.h"
+#include "fleet/key_recall.h"
+#include "fleet/leases_p.h"
 #include "fleet/log_event.h"
 #include "fleet/ownership.h"
 #include "fleet/registry.h"
@@ -31,23 +33,11 @@
   return std::to_string(first.value) + "-" + std::to_string(last.value);
 }
 
-bool is_silent(const OrderTarget& target) {
-  return target.unanswered >= config::kSilentServerOrders;
-}
-
 std::uint64_t start_order(State& state, CoordinatorRole& coordinator_role,
                           Lease& lease, Order order) {
-  PendingOrders& pending = state.orders;
-  std::uint64_t number = state.next_order++;
-  lease.pending_order = number;
   lease.releasing = order.release;
-  order.probe = is_silent(coordinator_role.targets[order.server.name]);
-  PendingOrders::AtServer& there = pending.by_server[order.server.name];
-  (order.release ? there.releases : there.grants).insert(number);
-  ++(order.release ? pending.releases : pending.grants);
-  if (order.probe) ++pending.probes;
-  pending.by_number[number] = std::move(order);
-  return number;
+  lease.pending_order = add_order(state, coordinator_role, std::move(order));
+  return lease.pending_order;
 }
 
 /// Takes the order out of those without an answer; empty if it is none of them.
@@ -89,12 +79,6 @@
          std::min(grants, config::kMaxGrantsPerServer - 1);
 }
 
-/// Whether the coordinator has as many orders in flight as it may.
-bool is_at_limit(const PendingOrders& pending, bool release) {
-  return release ? pending.releases >= config::kMaxReleasesInFlight
-                 : pending.grants >= config::kMaxGrantsInFlight;
-}
-
 /// When to look again at a range whose order may not be sent to the server now;
 /// empty if it may.
 std::optional<TimePoint> order_delay(const State& state,
@@ -471,6 +455,28 @@
 
 }  // namespace
 
+std::uint64_t add_order(State& state, CoordinatorRole& coordinator_role,
+                        Order order) {
+  PendingOrders& pending = state.orders;
+  std::uint64_t number = state.next_order++;
+  order.probe = is_silent(coordinator_role.targets[order.server.name]);
+  PendingOrders::AtServer& there = pending.by_server[order.server.name];
+  (order.release ? there.releases : there.grants).insert(number);
+  ++(order.release ? pending.releases : pending.grants);
+  if (order.probe) ++pending.probes;
+  pending.by_number[number] = std::move(order);
+  return number;
+}
+
+bool is_silent(const OrderTarget& target) {
+  return target.unanswered >= config::kSilentServerOrders;
+}
+
+bool is_at_limit(const PendingOrders& pending, bool release) {
+  return release ? pending.releases >= config::kMaxReleasesInFlight
+                 : pending.grants >= config::kMaxGrantsInFlight;
+}
+
 Duration longest_hold(const Settings& settings) {
   return expiry_after_end(
       settings, std::min(config::kLowTrafficGrantHold, settings.hold_max));
@@ -577,6 +583,7 @@
   if (map.must_verify) return;
   CoordinatorRole& coordinator_role = *map.coordinator_role;
   prune(state, coordinator_role, now);
+  if (coordinator_role.recall) send_recalls(state, service, map, now, effects);
   // At a limit, the ranges that have waited longest stay first.
   while (!coordinator_role.due.empty() &&
          coordinator_role.due.begin()->first <= now &&
@@ -631,6 +638,10 @@
                    now);
     }
   }
+  if (map.coordinator_role && map.coordinator_role->recall) {
+    on_recall_ended(*map.coordinator_role, order, ended, now);
+    send_due_orders(state, order.service, map, now, effects);
+  }
   if (lease == nullptr) return;
   if (ended.result == OrderResult::kDone && order.release) {
     shorten_inherited_grants(state.settings, *map.coordinator_role, *lease,
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "fleet/election.h"
+#include "fleet/key_recall.h"
 #include "fleet/leases.h"
 #include "fleet/log_event.h"
 #include "fleet/peers.h"
@@ -71,6 +72,7 @@
   role.lost_grants_until =
       now + config::kMaxRenewalWithoutStore + longest_hold(state.settings);
   role.term_before_loss = term;
+  role.recall.reset();
   role.lost_coordinators.clear();
   for (const auto& [name, daemon] : state.fleet.daemon_records) {
     if (name != state.settings.self.name && !has_been_silent(state, name, now))
@@ -93,6 +95,7 @@
     bool lost_before = !before || before->grants_lost;
     expect_lost_grants(state, *map.coordinator_role, term_before, lost_before,
                        now);
+    if (lost_before) start_recall(*map.coordinator_role, *map.map, now);
     if (before)
       map.coordinator_role->last_epoch_before_loss = before->last_epoch;
   }
--- a/src/fleet/reduce.cc
+++ b/src/fleet/reduce.cc
@@ -27,6 +27,7 @@
                               : "since_start"}});
   }
   if (returned) state.outage_ended_at = now;
+  if (!state.store_has_answered) state.store_reached_at = now;
   state.store_has_answered = true;
   state.store_answered_at = now;
 }
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -128,6 +128,12 @@
           now - state.outage_ended_at < config::kRegistryRecoveryTime);
 }
 
+bool entries_have_returned(const State& state, TimePoint now) {
+  if (!state.store_has_answered || in_or_after_outage(state, now)) return false;
+  return state.settings.first_start ||
+         now - state.store_reached_at >= config::kRegistryRecoveryTime;
+}
+
 void on_servers_listed(State& state, const ServersListed& listed, TimePoint now,
                        Effects& effects) {
   // A list that is older than changes already applied is ignored.
--- a/src/fleet/replan.cc
+++ b/src/fleet/replan.cc
@@ -473,10 +473,15 @@
   map.service = service;
   map.coordinator = state.settings.self.name;
   map.coordinator_incarnation = state.settings.self.incarnation;
-  map.term = TermEpoch(1);
-  // Epochs of a map that the store has lost are not given out again.
-  map.last_epoch = Epoch(1 + current_era(state).value * config::kEpochsPerEra);
+  // Terms and epochs of a map that the store has lost are not given out again.
+  std::uint64_t lost = current_era(state).value * config::kEpochsPerEra;
+  map.term = TermEpoch(lost + 1);
+  // The epoch before those of the ranges is that of the recall.
+  map.last_epoch = Epoch(lost + 2);
   map.ranges = initial_ranges(servers, map.last_epoch);
+  // The store cannot tell a service that never had a map from one whose map it
+  // has lost.
+  map.grants_lost = true;
   return map;
 }
 
@@ -527,6 +532,8 @@
     next.grants_lost = true;
   }
   next.term = next.term.next();
+  // The epoch before those of the ranges is that of the recall.
+  if (next.grants_lost) next.last_epoch = next.last_epoch.next();
   next.last_epoch = next.last_epoch.next();
   if (!lost || !knows_lost_owners(map, now)) {
     for (KeyRange& range : next.ranges) range.epoch = next.last_epoch;
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -211,6 +211,19 @@
   std::size_t probes = 0;  ///< Of both kinds.
 };
 
+/// The releases by which a coordinator makes sure that no server holds keys.
+struct KeyRecall {
+  struct Target {
+    Incarnation incarnation;          ///< Of the server that is asked.
+    std::uint64_t pending_order = 0;  ///< Release without an answer; 0: none.
+    TimePoint next_order_at;          ///< No release is sent before.
+    bool released = false;
+  };
+  Epoch epoch;  ///< Of the releases: above all grants that may be lost.
+  TimePoint started_at;
+  std::map<ServerName, Target> targets;
+};
+
 /// What the coordinator of a service keeps while its term lasts.
 struct CoordinatorRole {
   std::map<ShardKey, Lease> leases;  ///< By first key of the range.
@@ -227,6 +240,8 @@
   /// Until when servers may hold keys by grants that this coordinator does not
   /// know, because the store has lost them; empty if there are none.
   std::optional<TimePoint> lost_grants_until;
+  /// Set while servers are asked to release the keys of such grants.
+  std::optional<KeyRecall> recall;
   /// Daemons that may have made such grants, and may still renew them.
   std::vector<DaemonIncarnation> lost_coordinators;
   /// Whether one of them may have, although none renews them any more.
@@ -467,6 +482,7 @@
   /// When the last restoration of the store was noticed.
   std::optional<TimePoint> restored_at;
   bool store_has_answered = false;  ///< Since the start.
+  TimePoint store_reached_at;       ///< First answer of the store.
   TimePoint store_answered_at;  ///< Last answer; the start before the first.
   TimePoint store_failed_at;    ///< Last call without an answer.
   TimePoint outage_ended_at;    ///< When the store last became reachable.
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -31,6 +31,7 @@
 struct FakeServer {
   Server entry;
   bool up = true;
+  bool listed = true;  ///< The registry has its entry.
   bool reachable = true;
   bool resets_connections = false;  ///< Cut off; connections are refused.
   bool readdressed = false;         ///< Ended; another service has its address.
@@ -81,6 +82,7 @@
       daemons_.emplace_back();
       start(i);
     }
+    first_start_ = false;
   }
 
   static ZoneName zone(std::size_t index) {
@@ -163,6 +165,7 @@
     for (std::size_t i = 0; i < daemons_.size() + 4; ++i) {
       settings.seeds.emplace_back("10.0.0." + std::to_string(i + 1) + ":7");
     }
+    settings.first_start = first_start_;
     Daemon& slot = daemons_[daemon];
     slot.state = std::make_unique<State>(make_state(settings, now_));
     slot.incarnation = incarnations_;
@@ -283,6 +286,11 @@
     quarantine_revision_ = copy_.quarantine_revision;
     daemon_records_ = copy_.daemon_records;
   }
+  /// The server registers again after the registry has lost its entry.
+  void list_server(std::size_t index) {
+    servers_[index].listed = true;
+    announce(index);
+  }
   /// The registry drops the entry of a server that has ended.
   void unlist_server(std::size_t index) {
     each_daemon_with_store(ServerRemoved{servers_[index].entry.name});
@@ -731,7 +739,7 @@
       post(daemon, incarnation, ConfigurationSeen{configuration_, Version(1)});
       ServersListed listed;
       for (const FakeServer& server : servers_) {
-        if (server.up) listed.servers.push_back(server.entry);
+        if (server.up && server.listed) listed.servers.push_back(server.entry);
       }
       post(daemon, incarnation, listed);
       const DaemonRecord& self = daemons_[daemon].state->settings.self;
@@ -780,6 +788,7 @@
   std::multiset<ScheduledAction> scheduled_;
   std::uint64_t order_ = 0;
   std::uint64_t incarnations_ = 0;
+  bool first_start_ = true;  ///< Of daemons that start now.
 };
 
 }  // namespace eelgrasspin::fleet
