Leave a missing owner map to a daemon that is heard and has it

Cause: a daemon without a map created one although the heartbeats of others stated a position of it. The election compared positions only if the own map was lost, and did not count a coordinator that had been without the store for 2.5 s, although it renews grants for 15 s.

Change: such a daemon waits for the coordinator, as long as it may renew, and for any daemon that can take over, up to 15 s after the map was found missing. An absence that was read before a restoration is read again after it.

--- a/src/fleet/election.cc
+++ b/src/fleet/election.cc
@@ -46,6 +46,28 @@
   return {};
 }
 
+/// Whether another daemon has a map that the store lacks, and will write it
+/// again: the coordinator, as long as it may renew grants, or one that can take
+/// over.
+bool is_known_elsewhere(const State& state, const ServiceName& service,
+                        TimePoint now) {
+  for (const auto& [name, peer] : state.fleet.peers) {
+    const Heartbeat& last = peer.heartbeat;
+    if (!is_alive(state, name, now) ||
+        stated_position(last, service) == StorePosition()) {
+      continue;
+    }
+    if (states_role(last, service)) {
+      if (last.store_unreachable_for < config::kMaxRenewalWithoutStore)
+        return true;
+    } else if (!last.stopping &&
+               store_is_reachable(last.store_unreachable_for)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /// Whether no other daemon that could take over has a lower rank. If the store
 /// has lost the latest map, a daemon that knows a later one comes first.
 bool is_first_candidate(const State& state, const ServiceName& service,
@@ -127,7 +149,11 @@
     return false;
   }
   if (!map.map) {
-    return map.absent && is_first_candidate(state, service, map, now);
+    // A map that stays missing although another daemon has it has been deleted.
+    return map.absent_since &&
+           (now - *map.absent_since >= config::kMaxRenewalWithoutStore ||
+            !is_known_elsewhere(state, service, now)) &&
+           is_first_candidate(state, service, map, now);
   }
   // A daemon that no longer has the role takes it up again only if the store
   // has lost who had it.
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -133,7 +133,7 @@
   map.position = position;
   map.stored = std::max(map.stored, position);
   map.known_before_restoration = false;
-  map.absent = false;
+  map.absent_since.reset();
   map.behind_since.reset();
   map.confirmed_at = now;
   map.highest_term = std::max(map.highest_term, next.term);
@@ -233,7 +233,7 @@
     send_write(map, effects);
   bool behind = map.behind_since &&
                 now - *map.behind_since >= config::kOutdatedMapReadDelay;
-  bool unknown = (!map.map && !map.absent) || map.must_verify || behind ||
+  bool unknown = (!map.map && !map.absent_since) || map.must_verify || behind ||
                  !knows_stored(state, map);
   if (unknown && now >= map.next_read) {
     map.next_read = now + kMapReadInterval;
@@ -298,7 +298,7 @@
   MapState& map = state.maps[missing.service];
   map.stored = std::max(map.stored, {missing.read_in, Version()});
   if (map.map) return;
-  map.absent = true;
+  if (!map.absent_since) map.absent_since = now;
   map.behind_since.reset();
   map.next_read = now + kMapReadInterval;
 }
@@ -454,6 +454,7 @@
     // A write of the earlier era may be carried out late; the record is read
     // before the next write.
     map.pending_write.reset();
+    map.absent_since.reset();
     map.next_write = now;
     // The list of all records comes first.
     map.next_read =
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -269,7 +269,8 @@
   /// the era in which that was read. Only used as the condition of a write: a
   /// store that has been restored may hold an older version than `map`.
   StorePosition stored;
-  bool absent = false;                    ///< The store has no map.
+  /// Since when the store is known to have no map.
+  std::optional<TimePoint> absent_since;
   std::optional<OwnerMap> pending_write;  ///< A write without outcome yet.
   std::uint64_t write_number = 0;         ///< Of the last write.
   /// This version of the map was known when the store was restored, so that it
--- a/tests/first_map_test.cc
+++ b/tests/first_map_test.cc
@@ -99,6 +99,61 @@
   expect_no_violations();
 }
 
+/// A daemon is added while the others have not noticed yet that the store has
+/// lost the map.
+class AddedDaemon : public LostFirstMap {
+ protected:
+  /// The others reach the store again after the time given.
+  void add_after_restoration(Duration others_cut) {
+    world_.kill(kAdded);
+    world_.run_for(kServingTime);
+    ASSERT_TRUE(world_.coordinator());
+    owners_ = world_.stored_map()->ranges;
+    world_.stop_store();
+    world_.run_for(milliseconds(300));
+    world_.restore_copy();
+    for (std::size_t i = 0; i < kAdded; ++i) world_.cut_from_store.insert(i);
+    world_.restore_store();
+    world_.start(kAdded);
+    world_.after(others_cut, [this] { world_.cut_from_store.clear(); });
+  }
+  /// All keys stay with their owners, and the map is written again.
+  void expect_same_owners() {
+    for (int i = 0; i < 120; ++i) {
+      world_.run_for(milliseconds(100));
+      if (!world_.stored_map()) continue;
+      EXPECT_EQ(world_.stored_map()->ranges, owners_) << i * 100 << " ms";
+      EXPECT_TRUE(world_.all_held()) << i * 100 << " ms";
+    }
+    EXPECT_TRUE(world_.stored_map());
+    expect_no_violations();
+  }
+
+  static constexpr std::size_t kAdded = 2;
+  std::vector<KeyRange> owners_;
+};
+
+// Guards against a first map beside that of a coordinator which is alive.
+TEST_F(AddedDaemon, LeavesTheMapToARunningCoordinator) {
+  add_after_restoration(milliseconds(1800));
+  expect_same_owners();
+}
+
+// Guards against the same while the coordinator cannot reach the store for
+// longer than another one would need to take over.
+TEST_F(AddedDaemon, LeavesTheMapToACoordinatorThatStillRenews) {
+  add_after_restoration(seconds(6));
+  expect_same_owners();
+}
+
+// Guards against keys that wait for a coordinator which stays cut off.
+TEST_F(AddedDaemon, ServesKeysIfNobodyCanWriteTheMapAgain) {
+  add_after_restoration(minutes(5));
+  world_.run_for(config::kMaxRenewalWithoutStore);
+  EXPECT_LT(time_until_held(kRecoveryTime), seconds(10));
+  expect_no_violations();
+}
+
 // Guards against a first start that waits like one after a loss.
 TEST_F(LostFirstMap, FirstStartOfTheServiceDoesNotWait) {
   EXPECT_LE(time_until_held(kRecoveryTime), milliseconds(1200));
