Start a recall only once lost entries have returned

Callers would have lost all keys for up to 1.8 s when a coordinator takes over while grants may be lost: every server released its keys at once, but none was granted again before servers whose entries the store has lost could have registered again.

Cause: releases were sent to the listed servers first and the wait came after. Change: the releases wait as well, so that keys are free only for the time of the releases themselves.

--- a/src/fleet/key_recall.cc
+++ b/src/fleet/key_recall.cc
@@ -88,6 +88,9 @@
   CoordinatorRole& role = *map.coordinator_role;
   if (!role.lost_grants_until || now >= *role.lost_grants_until)
     return end_recall(role, service, "expired", now, effects);
+  // A server whose entry the store has lost may hold keys as well. Until then,
+  // the others go on serving theirs.
+  if (!entries_have_returned(state, now)) return;
   KeyRecall& recall = *role.recall;
   add_targets(state, service, recall);
   bool all_released = true;
@@ -100,9 +103,7 @@
     }
     send_release(state, service, role, name, target, now, effects);
   }
-  // A server whose entry the store has lost may hold keys as well.
-  if (all_released && entries_have_returned(state, now))
-    end_recall(role, service, "released", now, effects);
+  if (all_released) end_recall(role, service, "released", now, effects);
 }
 
 void on_recall_ended(CoordinatorRole& role, const Order& order,
