Do not replace a coordinator that has just written its map

Cause: the last heartbeat of the coordinator, from the time of the outage, said that it had not reached the store for over 2.5 s. The map that it had written since shows that it has. Change: a version of the map that became known after the heartbeat counts as a sign that its coordinator reaches the store.

--- a/src/fleet/election.cc
+++ b/src/fleet/election.cc
@@ -103,8 +103,11 @@
   // One that has not learned of the write that made it coordinator cannot read
   // it from the store any more.
   if (is_lost(state, map_state) && !states_role(last, service)) return false;
+  // It may have written the map since it sent its last heartbeat.
+  bool reaches_store = store_is_reachable(last.store_unreachable_for) ||
+                       map_state.adopted_at > peer->second.received_at;
   return last.daemon.incarnation == map.coordinator_incarnation &&
-         !last.stopping && store_is_reachable(last.store_unreachable_for);
+         !last.stopping && reaches_store;
 }
 
 /// Whether another daemon still receives heartbeats of the coordinator.
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -131,6 +131,7 @@
   bool new_term = !before || before->term != next.term;
   map.map = next;
   map.position = position;
+  map.adopted_at = now;
   map.stored = std::max(map.stored, position);
   map.known_before_restoration = false;
   map.absent_since.reset();
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -265,6 +265,7 @@
   std::optional<OwnerMap> map;  ///< As last read or written.
   /// At which this version of the map was written. Versions are compared by it.
   StorePosition position;
+  TimePoint adopted_at;  ///< When this version became known.
   /// What the store holds: the revision of its record, 0 if it has none, and
   /// the era in which that was read. Only used as the condition of a write: a
   /// store that has been restored may hold an older version than `map`.
--- a/tests/store_restored_ownership_test.cc
+++ b/tests/store_restored_ownership_test.cc
@@ -85,5 +85,29 @@
   EXPECT_TRUE(world.violations.empty());
 }
 
+// Guards against a successor that believes a heartbeat from the time of the
+// outage, although the coordinator has written its map since.
+TEST(StoreRestoredOwnership, CoordinatorThatHasWrittenItsMapIsNotReplaced) {
+  FleetWorld world(2, 4, 4, 2, 2);
+  move_keys_after_copy(world);
+  auto coordinator = world.coordinator();
+  ASSERT_TRUE(coordinator);
+  std::size_t other = 1 - *coordinator;
+  world.stop_store();
+  world.run_for(milliseconds(3100));
+  world.restore_copy();
+  world.cut_from_store.insert(other);
+  world.restore_store();
+  world.run_for(milliseconds(100));
+  world.cut_from_store.clear();
+  world.restore_store();
+  for (int i = 0; i < 30; ++i) {
+    world.run_for(milliseconds(100));
+    EXPECT_EQ(world.coordinator(), coordinator) << "after " << i * 100 << " ms";
+    EXPECT_TRUE(world.all_held()) << "after " << i * 100 << " ms";
+  }
+  EXPECT_TRUE(world.violations.empty());
+}
+
 }  // namespace
 }  // namespace eelgrasspin::fleet
