Recall keys only after a current list of the servers

Keys could be held by two servers (a finding of the new property test, seed 353): a coordinator that lost the store during a recall took its list of servers for complete 1.8 s after its first answer of the store, although a server that registered again meanwhile was missing from it.

Cause: the time alone was looked at, not whether the store had answered since. Change: the registry has to have been read after that time; the coordinator asks for it. A catch-up now replaces a watch that waits for a change, which could have held the recall back for two seconds more. The property test draws copies that are older than the first map, in every other world also older than the service, with servers that register again late.

--- a/src/fleet/key_recall.cc
+++ b/src/fleet/key_recall.cc
@@ -10,6 +10,9 @@
 namespace eelgrasspin::fleet {
 namespace {
 
+/// Interval of reads of the registry until the store answers one.
+constexpr Duration kRegistryReadInterval = milliseconds(500);
+
 /// Adds the servers that are listed now. One that has started again since it
 /// was asked is asked again: a late grant may reach its new incarnation.
 void add_targets(const State& state, const ServiceName& service,
@@ -23,6 +26,21 @@
   }
 }
 
+/// Whether the registry was read after all servers have had time to register
+/// again. Has it read if that is due.
+bool knows_all_servers(State& state, KeyRecall& recall, TimePoint now,
+                       Effects& effects) {
+  auto complete_at = entries_return_by(state);
+  if (!complete_at || now < *complete_at) return false;
+  const ViewState& servers = state.views[StoreView::kServers];
+  if (servers.answered_at >= *complete_at) return true;
+  if (now >= recall.next_read) {
+    recall.next_read = now + kRegistryReadInterval;
+    effects.emplace_back(CatchUp{StoreView::kServers, servers.as_of});
+  }
+  return false;
+}
+
 /// Whether a release may be sent to the server now.
 bool may_send(const State& state, const CoordinatorRole& role,
               const ServerName& server, TimePoint now) {
@@ -88,10 +106,10 @@
   CoordinatorRole& role = *map.coordinator_role;
   if (!role.lost_grants_until || now >= *role.lost_grants_until)
     return end_recall(role, service, "expired", now, effects);
+  KeyRecall& recall = *role.recall;
   // A server whose entry the store has lost may hold keys as well. Until then,
   // the others go on serving theirs.
-  if (!entries_have_returned(state, now)) return;
-  KeyRecall& recall = *role.recall;
+  if (!knows_all_servers(state, recall, now, effects)) return;
   add_targets(state, service, recall);
   bool all_released = true;
   for (auto& [name, target] : recall.targets) {
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -128,10 +128,15 @@
           now - state.outage_ended_at < config::kRegistryRecoveryTime);
 }
 
-bool entries_have_returned(const State& state, TimePoint now) {
-  if (!state.store_has_answered || in_or_after_outage(state, now)) return false;
-  return state.settings.first_start ||
-         now - state.store_reached_at >= config::kRegistryRecoveryTime;
+std::optional<TimePoint> entries_return_by(const State& state) {
+  if (!state.store_has_answered ||
+      state.store_failed_at > state.store_answered_at) {
+    return std::nullopt;
+  }
+  TimePoint back = state.outage_ended_at;
+  if (!state.settings.first_start)
+    back = std::max(back, state.store_reached_at);
+  return back > TimePoint() ? back + config::kRegistryRecoveryTime : back;
 }
 
 void on_servers_listed(State& state, const ServersListed& listed, TimePoint now,
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -20,10 +20,11 @@
 /// Whether the store is unreachable, or was until kRegistryRecoveryTime ago:
 /// entries that expired in that time may return.
 bool in_or_after_outage(const State& state, TimePoint now);
-/// Whether every server that is up has had time to register again since the
-/// store last came back. A daemon that has just started does not know when that
-/// was, unless the whole system starts for the first time.
-bool entries_have_returned(const State& state, TimePoint now);
+/// When every server that is up has had time to register again since the store
+/// last came back; empty during an outage. A daemon that has just started does
+/// not know when the store came back, unless the whole system starts for the
+/// first time.
+std::optional<TimePoint> entries_return_by(const State& state);
 /// Whether new requests may be sent to the server.
 bool accepts_work(const ServerState& server);
 /// Whether this incarnation is listed and not leaving.
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -221,6 +221,7 @@
   };
   Epoch epoch;  ///< Of the releases: above all grants that may be lost.
   TimePoint started_at;
+  TimePoint next_read;  ///< The registry is not read before.
   std::map<ServerName, Target> targets;
 };
 
--- a/src/io/store_feed.cc
+++ b/src/io/store_feed.cc
@@ -162,6 +162,7 @@
   KindState& state = state_of(kind);
   if (after.empty()) state.listed.clear();
   state.busy = true;
+  state.waits_for_change = false;
   state.timer.cancel();
   store_.list(kind, after,
               [this, kind, call = ++state.call](PageResult result) {
@@ -261,7 +262,8 @@
   ObjectKind kind = request.view == fleet::StoreView::kConfiguration
                         ? ObjectKind::kConfiguration
                         : ObjectKind::kServers;
-  if (state_of(kind).busy) return;
+  // A watch that waits does not show yet whether the copy is current.
+  if (state_of(kind).busy && !state_of(kind).waits_for_change) return;
   state_of(kind).as_of = std::max(state_of(kind).as_of, request.as_of);
   watch(kind, kProbeWait);
 }
@@ -269,6 +271,7 @@
 void StoreFeed::watch(ObjectKind kind, Duration wait) {
   KindState& state = state_of(kind);
   state.busy = true;
+  state.waits_for_change = wait > kProbeWait;
   state.timer.cancel();
   store_.watch(kind, state.as_of.revision, wait,
                [this, kind, call = ++state.call](PageResult result) {
@@ -280,6 +283,7 @@
                            PageResult result) {
   bool current = accept_era(stated_era(result));
   if (call != state_of(kind).call) return;
+  state_of(kind).waits_for_change = false;
   if (!current) return retry(kind, kEarlierEra, false);
   if (const auto* failure = std::get_if<StoreFailure>(&result)) {
     return retry(kind, *failure,
--- a/src/io/store_feed.h
+++ b/src/io/store_feed.h
@@ -50,6 +50,8 @@
     std::vector<StoredObject> listed;  ///< Pages of the list in progress.
     std::uint32_t failures = 0;        ///< Consecutive failed calls.
     bool busy = false;  ///< A call or the pause before one is in progress.
+    /// The call is a watch that the store answers once there is a change.
+    bool waits_for_change = false;
   };
 
   KindState& state_of(ObjectKind kind);
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -61,15 +61,7 @@
     auto configuration = std::make_shared<Configuration>();
     configuration->version = 1;
     configuration->services[kBoard] = {kBoard, true};
-    Route route;
-    route.name = "r";
-    route.host = "h";
-    route.prefix = "/";
-    route.repeatable = true;
-    route.objective = milliseconds(500);
-    route.timeout = seconds(1);
-    route.attempts = 2;
-    route.destinations = {{kBoard, 1}};
+    Route route = board_route();
     configuration->routes.push_back(route);
     configuration->services[kUnkeyedService] = {kUnkeyedService, false};
     route.name = "unkeyed";
@@ -85,6 +77,18 @@
     first_start_ = false;
   }
 
+  static Route board_route() {
+    Route route;
+    route.name = "r";
+    route.host = "h";
+    route.prefix = "/";
+    route.repeatable = true;
+    route.objective = milliseconds(500);
+    route.timeout = seconds(1);
+    route.attempts = 2;
+    route.destinations = {{kBoard, 1}};
+    return route;
+  }
   static ZoneName zone(std::size_t index) {
     return ZoneName(index == 0 ? "z" : "z" + std::to_string(index));
   }
@@ -241,6 +245,25 @@
     each_daemon_with_store(ConfigurationSeen{next, Version(next->version)});
   }
 
+  /// Puts a configuration in force with kBoard and its route, or without them.
+  void declare_board(bool declared) {
+    auto next = std::make_shared<Configuration>(*configuration_);
+    next->version = ++configuration_version_;
+    next->services.erase(kBoard);
+    std::erase_if(next->routes,
+                  [](const Route& route) { return route.name == "r"; });
+    if (declared) {
+      next->services[kBoard] = {kBoard, true};
+      next->routes.push_back(board_route());
+    }
+    configuration_ = next;
+    each_daemon_with_store(ConfigurationSeen{next, Version(next->version)});
+  }
+  /// The operator writes the latest configuration again.
+  void write_configuration_again() {
+    if (configuration_->version < configuration_version_) declare_board(true);
+  }
+
   /// Passes an event to the daemon if it runs; once it thaws, if it is frozen.
   void post(std::size_t daemon, const Event& event) {
     post(daemon, daemons_[daemon].incarnation, event);
@@ -273,7 +296,8 @@
              quarantine_record_,
              quarantine_recorded_at_,
              quarantine_revision_,
-             daemon_records_};
+             daemon_records_,
+             configuration_};
   }
   /// The store loses all records since take_copy(), and gives their revisions
   /// out again. Its era rises.
@@ -285,6 +309,7 @@
     quarantine_recorded_at_ = copy_.quarantine_recorded_at;
     quarantine_revision_ = copy_.quarantine_revision;
     daemon_records_ = copy_.daemon_records;
+    configuration_ = copy_.configuration;
   }
   /// The server registers again after the registry has lost its entry.
   void list_server(std::size_t index) {
@@ -345,6 +370,7 @@
     TimePoint quarantine_recorded_at;
     Version quarantine_revision;
     std::map<DaemonName, DaemonRecord> daemon_records;
+    std::shared_ptr<const Configuration> configuration;
   };
 
   struct GrantedKey {
@@ -429,6 +455,11 @@
             [&](const GrantKeys& e) { send_grant(daemon, incarnation, e); },
             [&](const ReleaseKeys& e) { send_release(daemon, incarnation, e); },
             [&](const ReadStoreAgain&) { deliver_view(daemon); },
+            [&](const CatchUp& e) {
+              after(milliseconds(10), [this, daemon, incarnation, e] {
+                read_registry(daemon, incarnation, e.view);
+              });
+            },
             [&](const ReadQuarantineRecord&) {
               after(milliseconds(10), [this, daemon, incarnation] {
                 read_quarantine_record(daemon, incarnation);
@@ -539,6 +570,23 @@
     }
   }
 
+  void read_registry(std::size_t daemon, std::uint64_t incarnation,
+                     StoreView view) {
+    if (!reaches_store(daemon))
+      return post(daemon, incarnation, StoreFailed{"down"});
+    answer_from_store(daemon, incarnation);
+    post(daemon, incarnation, StoreAnswered());
+    post(daemon, incarnation, listed_servers());
+    post(daemon, incarnation, ViewListed{view, {era(), Version()}});
+  }
+  ServersListed listed_servers() const {
+    ServersListed listed;
+    for (const FakeServer& server : servers_) {
+      if (server.up && server.listed) listed.servers.push_back(server.entry);
+    }
+    return listed;
+  }
+
   void read_quarantine_record(std::size_t daemon, std::uint64_t incarnation) {
     bool answered = reaches_store(daemon);
     if (answered) answer_from_store(daemon, incarnation);
@@ -737,11 +785,7 @@
       answer_from_store(daemon, incarnation);
       post(daemon, incarnation, StoreAnswered());
       post(daemon, incarnation, ConfigurationSeen{configuration_, Version(1)});
-      ServersListed listed;
-      for (const FakeServer& server : servers_) {
-        if (server.up && server.listed) listed.servers.push_back(server.entry);
-      }
-      post(daemon, incarnation, listed);
+      post(daemon, incarnation, listed_servers());
       const DaemonRecord& self = daemons_[daemon].state->settings.self;
       daemon_records_[self.name] = self;
       post_daemon_records(daemon, incarnation);
@@ -775,6 +819,7 @@
   std::size_t regions_ = 1;
   TimePoint now_{seconds(1000)};
   std::shared_ptr<const Configuration> configuration_;
+  std::uint64_t configuration_version_ = 1;  ///< Of the operator's latest.
   std::vector<Daemon> daemons_;
   std::vector<FakeServer> servers_;
   std::optional<OwnerMap> map_;
--- a/tests/store_feed_test.cc
+++ b/tests/store_feed_test.cc
@@ -90,6 +90,24 @@
   EXPECT_LE(watches_[0].wait, milliseconds(2200));
 }
 
+// Guards against a catch-up that waits for the end of a watch.
+TEST_F(StoreFeedTest, CatchUpAsksAtOnceWhileAWatchWaits) {
+  run_until_watches(1);
+  Duration wait = watches_[0].wait;
+  feed_.catch_up({fleet::StoreView::kConfiguration, {}});
+  ASSERT_EQ(watches_.size(), 2U);
+  EXPECT_LT(watches_[1].wait, milliseconds(100));
+  // The answer of the first one is no longer of use.
+  watches_[0].done(ObjectPage{{}, false, Version(6), std::nullopt});
+  EXPECT_EQ(watches_.size(), 2U);
+  // A second catch-up does not replace the first.
+  feed_.catch_up({fleet::StoreView::kConfiguration, {}});
+  EXPECT_EQ(watches_.size(), 2U);
+  watches_[1].done(ObjectPage{{}, false, Version(6), std::nullopt});
+  ASSERT_EQ(watches_.size(), 3U);
+  EXPECT_EQ(watches_[2].wait, wait);
+}
+
 TEST_F(StoreFeedTest, GoneHistoryIsListedAgain) {
   run_until_watches(1);
   EXPECT_CALL(store_, list(ObjectKind::kConfiguration, _, _))
--- a/tests/store_restored_property_test.cc
+++ b/tests/store_restored_property_test.cc
@@ -29,6 +29,24 @@
       world_.run_for(random_duration(100, 1500));
     }
   }
+  /// Restores the copy that was taken last, and kills some or all daemons
+  /// meanwhile. Some servers register again only after the store is back.
+  void restore_first_copy() {
+    world_.after(random_duration(500, 6000), [this] {
+      world_.stop_store();
+      bool all = below(2) == 0;
+      for (std::size_t i = 0; i < world_.daemons(); ++i) {
+        if (all || below(3) == 0) restart(i);
+      }
+      world_.after(random_duration(0, 800), [this] {
+        world_.restore_copy();
+        for (FakeServer& server : world_.servers()) {
+          if (below(4) == 0) server.listed = false;
+        }
+        world_.after(random_duration(0, 800), [this] { return_store(); });
+      });
+    });
+  }
   void heal() {
     world_.faults = {};
     world_.cut_links.clear();
@@ -39,6 +57,8 @@
       world_.thaw(i);
     }
     world_.restore_store();
+    world_.write_configuration_again();
+    for (FakeServer& server : world_.servers()) server.listed = true;
   }
 
  private:
@@ -115,6 +135,19 @@
     });
   }
 
+  void return_store() {
+    world_.restore_store();
+    world_.after(random_duration(0, 2000),
+                 [this] { world_.write_configuration_again(); });
+    for (std::size_t i = 0; i < world_.servers().size(); ++i) {
+      if (world_.servers()[i].listed) continue;
+      world_.after(random_duration(50, 1700), [this, i] {
+        world_.servers()[i].listed = true;
+        if (world_.servers()[i].up) world_.list_server(i);
+      });
+    }
+  }
+
   /// Restores a copy that is some seconds old by the time it is back.
   void restore() {
     if (restoring_) return;
@@ -152,15 +185,13 @@
   };
 }
 
-void check(std::uint32_t seed) {
-  SCOPED_TRACE("seed " + std::to_string(seed));
-  FleetWorld world(4, 5, seed, seed % 2 + 1, seed % 2 + 1);
+void prepare(FleetWorld& world, std::uint32_t seed) {
   world.store_era = StoreEra(seed % 3);
   world.check_epochs = true;
   if (std::getenv("RESTORATION_LOG") != nullptr) print_log(world);
-  Disturbances disturbances(world, seed);
-  world.run_for(kSettlingTime);
-  disturbances.run(seconds(30));
+}
+
+void heal_and_check(FleetWorld& world, Disturbances& disturbances) {
   disturbances.heal();
   world.run_for(seconds(10));
   for (std::size_t server = 0; server < world.servers().size(); ++server)
@@ -177,11 +208,57 @@
       << world.violations.size() << ", " << world.violations.front();
 }
 
-TEST(StoreRestoredProperty, KeysHaveOneOwnerAndAreServedAgain) {
+void check(std::uint32_t seed) {
+  SCOPED_TRACE("seed " + std::to_string(seed));
+  FleetWorld world(4, 5, seed, seed % 2 + 1, seed % 2 + 1);
+  prepare(world, seed);
+  Disturbances disturbances(world, seed);
+  world.run_for(kSettlingTime);
+  disturbances.run(seconds(30));
+  heal_and_check(world, disturbances);
+}
+
+/// The store's copy is older than the first owner map; in every other world
+/// also older than the service.
+void check_with_early_copy(std::uint32_t seed) {
+  SCOPED_TRACE("seed " + std::to_string(seed));
+  FleetWorld world(4, 5, seed, seed % 2 + 1, seed % 2 + 1);
+  prepare(world, seed);
+  bool service_is_older = seed / 2 % 2 == 0;
+  if (!service_is_older) world.declare_board(false);
+  world.run_for(milliseconds(seed % 7 * 100));
+  world.take_copy();
+  if (!service_is_older) {
+    world.run_for(milliseconds(500));
+    world.declare_board(true);
+  }
+  Disturbances disturbances(world, seed);
+  disturbances.restore_first_copy();
+  disturbances.run(seconds(20));
+  heal_and_check(world, disturbances);
+}
+
+void check_seeds(void (*check_seed)(std::uint32_t)) {
   int first = number_from("RESTORATION_SEED", 1);
   int count = number_from("RESTORATION_SEEDS", kDefaultSeeds);
   for (int i = first; i < first + count; ++i)
-    check(static_cast<std::uint32_t>(i));
+    check_seed(static_cast<std::uint32_t>(i));
+}
+
+TEST(StoreRestoredProperty, KeysHaveOneOwnerAndAreServedAgain) {
+  check_seeds(check);
+}
+
+// Guards against records that are missing from the copy and taken for records
+// that never were.
+TEST(StoreRestoredProperty, CopiesAreOlderThanTheFirstMap) {
+  check_seeds(check_with_early_copy);
+}
+
+// Guards against a recall by a coordinator whose list of servers is out of
+// date, because it cannot reach the store any more.
+TEST(StoreRestoredProperty, TracedSeedsOfEarlyCopies) {
+  check_with_early_copy(353);
 }
 
 // Seeds that have found a fault.
