Recall keys also from servers whose entries have been removed

Keys could be held by two servers: a server that cannot reach the store loses its entry before its grants expire. If that happens before the recall begins, the server was not asked, and the keys were granted to others.

Cause: an entry that is gone was taken for a server that holds nothing. Change: the recall asks every server that is known, unless its entry was removed longer ago than a grant can last.

--- a/src/fleet/key_recall.cc
+++ b/src/fleet/key_recall.cc
@@ -5,6 +5,7 @@
 #include "fleet/leases.h"
 #include "fleet/leases_p.h"
 #include "fleet/log_event.h"
+#include "fleet/ownership.h"
 #include "fleet/registry.h"
 
 namespace eelgrasspin::fleet {
@@ -13,14 +14,16 @@
 /// Interval of reads of the registry until the store answers one.
 constexpr Duration kRegistryReadInterval = milliseconds(500);
 
-/// Adds the servers that are listed now. One that has started again since it
-/// was asked is asked again: a late grant may reach its new incarnation.
-void add_targets(const State& state, const ServiceName& service,
+/// Adds the servers that may hold keys. The entry of one that cannot reach the
+/// store is removed before its grants expire. One that has started again since
+/// it was asked is asked again: a late grant may reach its new incarnation.
+void add_targets(const State& state, const ServiceName& service, TimePoint now,
                  KeyRecall& recall) {
-  auto listed = state.by_service.find(service);
-  if (listed == state.by_service.end()) return;
-  for (const ServerName& name : listed->second) {
-    Incarnation incarnation = state.servers.at(name).server.incarnation;
+  for (const auto& [name, server] : state.servers) {
+    bool expired = server.removed &&
+                   now - server.leaving_since >= longest_hold(state.settings);
+    if (server.server.service != service || expired) continue;
+    Incarnation incarnation = server.server.incarnation;
     KeyRecall::Target& target = recall.targets[name];
     if (target.incarnation != incarnation) target = {incarnation};
   }
@@ -110,7 +113,7 @@
   // A server whose entry the store has lost may hold keys as well. Until then,
   // the others go on serving theirs.
   if (!knows_all_servers(state, recall, now, effects)) return;
-  add_targets(state, service, recall);
+  add_targets(state, service, now, recall);
   bool all_released = true;
   for (auto& [name, target] : recall.targets) {
     if (target.released) continue;
--- a/tests/first_map_test.cc
+++ b/tests/first_map_test.cc
@@ -83,6 +83,19 @@
   expect_no_violations();
 }
 
+// Guards against a holder that is forgotten because its entry has expired.
+TEST_F(LostFirstMap, WaitsForServersWhoseEntriesAreRemoved) {
+  lose_map();
+  world_.servers()[0].reachable = false;
+  start_again();
+  world_.run_for(milliseconds(1000));
+  world_.servers()[0].listed = false;
+  world_.unlist_server(0);
+  EXPECT_LT(time_until_held(kRecoveryTime), kRecoveryLimit);
+  world_.run_for(kRecoveryTime);
+  expect_no_violations();
+}
+
 // Guards against a successor that takes the recall for completed.
 TEST_F(LostFirstMap, SuccessorAsksAllServersAgain) {
   lose_map();
