left_callers_test: addresses that no other test uses

Cause: the processes of left_callers_test and memory_limit_test have the numbers 9 and 10, which make their addresses, and ctest may run both at once. Change: left_callers_test uses 71 and 72. Result: both pass side by side. No check is changed.

--- a/tests/left_callers_test.cc
+++ b/tests/left_callers_test.cc
@@ -77,7 +77,7 @@
 };
 
 TEST_F(LeftCallers, RequestReadAfterItsCallerLeftIsNotSent) {
-  Process process = start(9);
+  Process process = start(71);
   ASSERT_TRUE(become_ready(process));
   ASSERT_TRUE(
       run_until([&] { return all_keys_served(callers(process), "x"); }));
@@ -93,7 +93,7 @@
 }
 
 TEST_F(LeftCallers, RequestReadAfterItsDeadlineIsNotSent) {
-  Process process = start(10);
+  Process process = start(72);
   ASSERT_TRUE(become_ready(process));
   ASSERT_TRUE(
       run_until([&] { return all_keys_served(callers(process), "x"); }));
