Stand-in of the store: watches wait as long as they ask to

The stand-in answered each watch after one second, whatever waitMs said. With self.bootstrap=false a recall could therefore never read the registry: it asked no server and ended when all grants had expired.

Cause: the stand-in did not do what the platform's page says of waitMs, and no test with real processes had self.bootstrap=false. Change: waitMs is honoured; watch_delay makes watches slow. FirstMapRestored restarts all daemons after the loss of their only map, with both values of the setting.

--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -49,6 +49,8 @@
   bool endless = false;
   /// Writes are carried out, but their answers are lost.
   bool loses_answers = false;
+  /// Time that each watch takes beyond its wait. Other calls are not slower.
+  Duration watch_delay{0};
   /// Stated in all answers; empty: by a store that counts no eras.
   std::optional<std::uint64_t> era = 1;
 
@@ -163,7 +165,11 @@
     }
     std::string since = io::query_parameter(request.target, "watch");
     if (request.method == "GET" && !since.empty()) {
-      return watch(exchange, kind, std::stoull(since));
+      if (watch_delay.count() == 0)
+        return watch(exchange, kind, std::stoull(since));
+      return delay(watch_delay, [this, exchange, kind, since] {
+        watch(exchange, kind, std::stoull(since));
+      });
     }
     if (request.method == "GET") return list(*exchange, kind);
     change(*exchange, kind, name);
@@ -222,12 +228,28 @@
     return {200, *find(kind, name)};
   }
 
+  void delay(Duration duration, std::function<void()> act) {
+    auto timer = std::make_shared<boost::asio::steady_timer>(io_, duration);
+    timer->async_wait(
+        [timer, act = std::move(act)](boost::system::error_code failed) {
+          if (!failed) act();
+        });
+  }
+
+  /// The wait that a watch asks for; without one it is answered at once.
+  static Duration wait_of(const io::HttpRequest& request) {
+    constexpr int kMaxWaitMs = 30'000;
+    std::string wait = io::query_parameter(request.target, "waitMs");
+    return milliseconds(wait.empty() ? 0
+                                     : std::min(std::stoi(wait), kMaxWaitMs));
+  }
+
   void watch(const std::shared_ptr<io::HttpExchange>& exchange,
              const std::string& kind, std::uint64_t since) {
     if (since > revision_) return answer(*exchange, 410, json::object{});
     auto wait_timer = std::make_shared<boost::asio::steady_timer>(io_);
     pending_watches_.push_back({exchange, kind, since, wait_timer});
-    wait_timer->expires_after(std::chrono::seconds(1));
+    wait_timer->expires_after(wait_of(exchange->request()));
     wait_timer->async_wait([this, exchange](boost::system::error_code failed) {
       if (failed) return;
       std::erase_if(pending_watches_, [&](const PendingWatch& pending) {
--- a/tests/store_restored_test.cc
+++ b/tests/store_restored_test.cc
@@ -8,6 +8,8 @@
 constexpr int kLostChanges = 64;
 /// Time in which a confirmed change has to be in force.
 constexpr Duration kChangeTime = seconds(4);
+/// Time in which all keys have to be served again after a loss of power.
+constexpr Duration kRecoveryTime = seconds(5);
 /// Time in which the daemons' watches end and tell them the latest revision.
 constexpr Duration kWatchTime = milliseconds(2500);
 
@@ -20,6 +22,10 @@
   void wait(Duration duration) {
     run_until([] { return false; }, duration);
   }
+  void kill_all() {
+    for (Process& process : processes_) stop(process, SIGKILL);
+    processes_.clear();
+  }
   /// The operator and the servers write their objects again, as they do after
   /// a restoration.
   void write_again() {
@@ -69,7 +75,7 @@
     // processes_ must not grow while its elements are referred to.
     processes_.reserve(8);
     for (int i = 0; i < 2; ++i) {
-      Process& process = start(first_number + i);
+      Process& process = start(first_number + i, more_settings_);
       ASSERT_TRUE(become_ready(process));
     }
     ASSERT_TRUE(run_until(
@@ -112,6 +118,8 @@
     }
   }
 
+  /// Of all daemons that are started from now on.
+  std::string more_settings_;
   int grants_of_held_keys_ = 0;
   int version_ = 100;
   int requests_ = 0;
@@ -151,11 +159,10 @@
            boards_[0]->ran.size() == before;
   }));
   store_.down = true;
-  for (Process& process : processes_) stop(process, SIGKILL);
+  kill_all();
   store_.restore_copy();
   wait(milliseconds(300));
   store_.down = false;
-  processes_.clear();
   for (int i = 0; i < 2; ++i) {
     Process& process = start(39 + i);
     ASSERT_TRUE(become_ready(process));
@@ -169,6 +176,61 @@
   EXPECT_EQ(grants_of_held_keys_, 0);
 }
 
+/// The copy is older than the first owner map, and all daemons lose power. With
+/// both values of self.bootstrap in the settings.
+class FirstMapRestored : public StoreRestored,
+                         public ::testing::WithParamInterface<bool> {
+ protected:
+  FirstMapRestored() {
+    more_settings_ =
+        std::string("self.bootstrap=") + (GetParam() ? "true\n" : "false\n");
+  }
+  /// A server joins after the first map, so that the next one has other owners.
+  void add_board() {
+    boards_.push_back(std::make_unique<ServerStandin>(io_, "i-board2", true));
+    list(*boards_.back(), "board");
+    ASSERT_TRUE(run_until([&] {
+      return all_keys_served(callers(processes_[0]), "joined") &&
+             !boards_.back()->ran.empty();
+    }));
+  }
+  /// The entry of a server is written again `late` after the others'.
+  void lose_map_and_start(int first_number, Duration late) {
+    store_.down = true;
+    kill_all();
+    store_.restore_copy();
+    wait(milliseconds(300));
+    store_.down = false;
+    write_again();
+    if (late.count() > 0) store_.remove(kServersKind, boards_[0]->name());
+    for (int i = 0; i < 2; ++i) start(first_number + i, more_settings_);
+    if (late.count() == 0) return;
+    wait(late);
+    list(*boards_[0], "board");
+  }
+  void expect_served_within(Duration limit) {
+    for (const Process& process : processes_) {
+      EXPECT_TRUE(run_until(
+          [&] { return all_keys_served(callers(process), process.ip); }, limit))
+          << process.ip;
+    }
+    EXPECT_EQ(grants_of_held_keys_, 0);
+  }
+};
+
+// Guards against two owners after a loss of the only map, and against a recall
+// that cannot read the registry and lets all grants expire.
+TEST_P(FirstMapRestored, KeysAreRecalledAndServedAgain) {
+  store_.take_copy();
+  start_fleet(75);
+  add_board();
+  watch_owners();
+  lose_map_and_start(75, Duration(0));
+  expect_served_within(kRecoveryTime);
+}
+
+INSTANTIATE_TEST_SUITE_P(Bootstrap, FirstMapRestored, ::testing::Bool());
+
 TEST_F(StoreRestored, StoreThatStatesNoEraIsServedAsBefore) {
   store_.era.reset();
   start_fleet(37);
