Tell a store that is slow on watches from one that is lost

Beside a store that answered watches a second late, and all other calls at once, no change came into force any more, and a coordinator that had to recall all keys asked no server: keys had no owner until all grants had expired.

Cause: a watch that follows a failed one had 850 ms in all, so that every later one failed as well. Each counted as an outage, although the store answered other calls, and the wait for lost entries started anew. Change: an overdue watch is followed by one with more time, and watches of a store that answers late keep it. A call is no sign of an outage if the store has answered another one since its answer was due.

--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -87,6 +87,8 @@
 /// A call to the store was not answered.
 struct StoreFailed {
   std::string why;
+  /// How late an answer would have been when the call ended.
+  Duration overdue{0};
 };
 
 // From other daemons.
--- a/src/fleet/reduce.cc
+++ b/src/fleet/reduce.cc
@@ -34,6 +34,12 @@
 
 void on_store_failed(State& state, const StoreFailed& failed, TimePoint now,
                      Effects& effects) {
+  // It answers other calls meanwhile, so that it is slow and not lost.
+  if (state.store_has_answered &&
+      state.store_answered_at > now - failed.overdue) {
+    return log_event(effects, "store_call_slow",
+                     {{"overdue", text(failed.overdue)}, {"why", failed.why}});
+  }
   if (state.store_failed_at <= state.store_answered_at) {
     log_event(effects, "store_lost",
               {{"last_answer", text(now - state.store_answered_at)},
--- a/src/io/fleet_ports.h
+++ b/src/io/fleet_ports.h
@@ -58,6 +58,8 @@
   Version as_of;          ///< Revision of the store that the page reflects.
   /// Era of the store that gave the page; empty if it states none.
   std::optional<StoreEra> era;
+  /// How late the answer came: for a watch, after the end of its wait.
+  Duration overdue{0};
 };
 
 enum class StoreFailureKind : std::uint8_t {
@@ -73,6 +75,8 @@
   std::string why;
   /// Era that the answer states, if there is one.
   std::optional<StoreEra> era;
+  /// How late an answer would have been when the call ended.
+  Duration overdue{0};
 };
 
 /// An object that has been written.
@@ -96,9 +100,9 @@
   virtual void list(ObjectKind kind, const std::string& after,
                     PageCallback done) = 0;
   /// Returns the changes since a revision. If there are none, waits for one for
-  /// at most `wait`.
+  /// at most `wait`. The call fails if the answer is overdue for `margin`.
   virtual void watch(ObjectKind kind, Version since, Duration wait,
-                     PageCallback done) = 0;
+                     Duration margin, PageCallback done) = 0;
   virtual void read(ObjectKind kind, const std::string& name,
                     PageCallback done) = 0;
   /// Creates a record; kConflict if it exists.
--- a/src/io/store_feed.cc
+++ b/src/io/store_feed.cc
@@ -10,6 +10,11 @@
 /// detected at once, and of a single watch that brings an outdated copy up to
 /// date.
 constexpr Duration kProbeWait = milliseconds(50);
+/// Time that a watch may take beyond its own wait. It is short so that a dead
+/// connection is abandoned while a change can still be received in good time.
+constexpr Duration kWatchMargin = milliseconds(800);
+/// The same for a store that has answered late, or has not answered in time.
+constexpr Duration kSlowWatchMargin = milliseconds(1600);
 /// Pause between a change and the next watch: changes in quick succession cost
 /// one call, and the departure of a server is still received in good time.
 constexpr Duration kWatchPause = milliseconds(200);
@@ -274,6 +279,7 @@
   state.waits_for_change = wait > kProbeWait;
   state.timer.cancel();
   store_.watch(kind, state.as_of.revision, wait,
+               state.slow ? kSlowWatchMargin : kWatchMargin,
                [this, kind, call = ++state.call](PageResult result) {
                  on_changes(kind, call, std::move(result));
                });
@@ -293,6 +299,8 @@
   const auto& page = std::get<ObjectPage>(result);
   KindState& state = state_of(kind);
   state.failures = 0;
+  // A change may end the wait of a watch that a slow store answers late.
+  if (page.objects.empty()) state.slow = page.overdue > kWatchMargin;
   state.as_of = std::max(state.as_of, {era(), page.as_of});
   sink_(fleet::StoreChanged{store_update_of(kind, page)});
   if (page.objects.empty()) return continue_watching(kind);
@@ -306,11 +314,14 @@
                       bool relist) {
   KindState& state = state_of(kind);
   ++state.failures;
+  // Every other margin stays short, so that the return of a store that was
+  // silent is noticed soon.
+  if (failure.overdue >= kWatchMargin) state.slow = !state.slow;
   if (failure.kind == StoreFailureKind::kHistoryGone) {
     log_line(LogLevel::kWarning,
              {{"event", "store_history_gone"}, {"as_of", text(state.as_of)}});
   } else {
-    sink_(fleet::StoreFailed{failure.why});
+    sink_(fleet::StoreFailed{failure.why, failure.overdue});
   }
   state.timer.expires_after(retry_delay(state.failures));
   state.timer.async_wait(
@@ -445,7 +456,7 @@
                   sink_(fleet::StoreAnswered());
                   return sink_(fleet::MapMissing{service, era()});
                 }
-                sink_(fleet::StoreFailed{failure.why});
+                sink_(fleet::StoreFailed{failure.why, failure.overdue});
               });
 }
 
@@ -468,7 +479,7 @@
         if (missing) {
           sink_(fleet::StoreAnswered());
         } else {
-          sink_(fleet::StoreFailed{failure->why});
+          sink_(fleet::StoreFailed{failure->why, failure->overdue});
         }
         sink_(fleet::QuarantineRecordRead{missing, Version(), {}, era()});
       });
--- a/src/io/store_feed.h
+++ b/src/io/store_feed.h
@@ -52,6 +52,9 @@
     bool busy = false;  ///< A call or the pause before one is in progress.
     /// The call is a watch that the store answers once there is a change.
     bool waits_for_change = false;
+    /// The next watch may be answered later than usual: the last one was
+    /// overdue.
+    bool slow = false;
   };
 
   KindState& state_of(ObjectKind kind);
--- a/tests/store_feed_test.cc
+++ b/tests/store_feed_test.cc
@@ -15,7 +15,8 @@
  public:
   MOCK_METHOD(void, list, (ObjectKind, const std::string&, PageCallback),
               (override));
-  MOCK_METHOD(void, watch, (ObjectKind, Version, Duration, PageCallback),
+  MOCK_METHOD(void, watch,
+              (ObjectKind, Version, Duration, Duration, PageCallback),
               (override));
   MOCK_METHOD(void, read, (ObjectKind, const std::string&, PageCallback),
               (override));
@@ -30,6 +31,7 @@
 struct Watch {
   Version since;
   Duration wait;
+  Duration margin;
   FleetStore::PageCallback done;
 };
 
@@ -45,10 +47,9 @@
         });
     ON_CALL(store_, watch)
         .WillByDefault([this](ObjectKind kind, Version since, Duration wait,
-                              FleetStore::PageCallback done) {
-          if (kind == ObjectKind::kConfiguration) {
-            watches_.push_back({since, wait, std::move(done)});
-          }
+                              Duration margin, FleetStore::PageCallback done) {
+          if (kind == ObjectKind::kConfiguration)
+            watches_.push_back({since, wait, margin, std::move(done)});
         });
     feed_.start();
   }
@@ -83,6 +84,44 @@
   EXPECT_EQ(watches_[2].wait, usual_wait);
 }
 
+/// The answer of a watch that is this late.
+ObjectPage late_page(Duration overdue) {
+  return {{}, false, Version(5), std::nullopt, overdue};
+}
+StoreFailure time_out(Duration overdue) {
+  return {StoreFailureKind::kNoAnswer, "silent", std::nullopt, overdue};
+}
+
+// Guards against a store that answers a second late and is taken for lost as
+// long as it does.
+TEST_F(StoreFeedTest, WatchesOfASlowStoreHaveMoreTime) {
+  run_until_watches(1);
+  Duration usual = watches_[0].margin;
+  EXPECT_LT(usual, seconds(1));
+  watches_[0].done(time_out(usual));
+  run_until_watches(2);
+  EXPECT_GE(watches_[1].margin, milliseconds(1500));
+  watches_[1].done(late_page(seconds(1)));
+  run_until_watches(3);
+  EXPECT_GE(watches_[2].margin, milliseconds(1500));
+  EXPECT_GT(watches_[2].wait, seconds(1)) << "a probe after an answer";
+  watches_[2].done(late_page(milliseconds(2)));
+  run_until_watches(4);
+  EXPECT_EQ(watches_[3].margin, usual);
+}
+
+// Guards against a return of the store that is noticed late because the call
+// before it waits long.
+TEST_F(StoreFeedTest, EveryOtherProbeOfASilentStoreIsShort) {
+  run_until_watches(1);
+  Duration usual = watches_[0].margin;
+  for (std::size_t i = 0; i < 4; ++i) {
+    watches_[i].done(time_out(watches_[i].margin));
+    run_until_watches(i + 2);
+    EXPECT_EQ(watches_[i + 1].margin == usual, i % 2 == 1) << i;
+  }
+}
+
 /// Changes must be received within three seconds after connections have
 /// stalled, so a watch must wait less than that.
 TEST_F(StoreFeedTest, WatchesWaitLessThanThreeSeconds) {
--- a/tests/store_restored_test.cc
+++ b/tests/store_restored_test.cc
@@ -10,6 +10,10 @@
 constexpr Duration kChangeTime = seconds(4);
 /// Time in which all keys have to be served again after a loss of power.
 constexpr Duration kRecoveryTime = seconds(5);
+/// The same beside a slow store.
+constexpr Duration kSlowRecoveryTime = seconds(15);
+/// How long a store may be slow before its watches are given more time.
+constexpr Duration kSlowStoreTime = seconds(8);
 /// Time in which the daemons' watches end and tell them the latest revision.
 constexpr Duration kWatchTime = milliseconds(2500);
 
@@ -229,8 +233,31 @@
   expect_served_within(kRecoveryTime);
 }
 
+// Guards against the same beside a store that is slow on watches.
+TEST_P(FirstMapRestored, KeysAreRecalledBesideASlowStore) {
+  store_.take_copy();
+  start_fleet(79);
+  add_board();
+  watch_owners();
+  store_.watch_delay = seconds(1);
+  lose_map_and_start(79, Duration(0));
+  expect_served_within(kSlowRecoveryTime);
+}
+
 INSTANTIATE_TEST_SUITE_P(Bootstrap, FirstMapRestored, ::testing::Bool());
 
+// Guards against a store that is slow on watches and is taken for lost, so that
+// no change comes into force.
+TEST_F(StoreRestored, ChangesOfASlowStoreAreInForce) {
+  start_fleet(77);
+  store_.watch_delay = seconds(1);
+  wait(kSlowStoreTime);
+  add_route("/slow/");
+  wait(kChangeTime);
+  for (const Process& process : processes_)
+    EXPECT_EQ(status_of(process, "/slow/x"), 200) << process.ip;
+}
+
 TEST_F(StoreRestored, StoreThatStatesNoEraIsServedAsBefore) {
   store_.era.reset();
   start_fleet(37);
--- a/tests/store_view_test.cc
+++ b/tests/store_view_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "fleet/peers.h"
 #include "fleet/reduce.h"
 #include "tests/store_positions.h"
 
@@ -112,6 +113,22 @@
   EXPECT_FALSE(state_.watching);
 }
 
+// Guards against a store that answers some calls late and counts as lost again
+// and again, so that lost entries are waited for without end.
+TEST_F(StoreViewTest, SlowCallsBesideAnsweredOnesAreNoOutage) {
+  now_ += milliseconds(500);
+  reduce(state_, StoreAnswered(), now_);
+  now_ += milliseconds(400);
+  reduce(state_, StoreFailed{"slow", milliseconds(800)}, now_);
+  EXPECT_EQ(store_unreachable_for(state_, now_), Duration(0));
+  reduce(state_, StoreAnswered(), now_);
+  EXPECT_EQ(state_.outage_ended_at, TimePoint());
+  // Nothing has been answered since this call was due.
+  now_ += milliseconds(900);
+  reduce(state_, StoreFailed{"silent", milliseconds(800)}, now_);
+  EXPECT_EQ(store_unreachable_for(state_, now_), milliseconds(900));
+}
+
 TEST_F(StoreViewTest, UpdatesWithAKnownBaseAreApplied) {
   receive(heartbeat(at(10), Duration(0)));
   reduce(state_, StoreUpdateReceived{update(at(10), at(15))}, now_);
