Wait for lost entries whatever self.bootstrap says

Cause: with self.bootstrap=true, a recall of keys did not wait for servers whose entries the store may have lost. The setting may be stale in a process that is started again or added. Change: the setting is not read. A recall begins at once only beside a store of era 0, which was never restored; it waits 2.2 s otherwise (1.8 s before), since the platform gives servers about two seconds.

--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -410,6 +410,9 @@
 /// may return before their servers count as gone: the platform states about two
 /// seconds.
 inline constexpr Duration kRegistryRecoveryTime = milliseconds(1800);
+/// The same for a recall of keys, which must not overlook a server that may
+/// hold some: the platform's two seconds, and a margin.
+inline constexpr Duration kEntryReturnTime = milliseconds(2200);
 /// Check-in intervals of silence after which the registry drops an entry.
 inline constexpr std::int64_t kEntryExpiryCheckIns = 3;
 /// Added to terms and epochs for each restoration of the store. It exceeds the
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -134,9 +134,11 @@
     return std::nullopt;
   }
   TimePoint back = state.outage_ended_at;
-  if (!state.settings.first_start)
+  // A daemon that has just started may have missed a restoration, unless there
+  // has been none.
+  if (current_era(state) > StoreEra())
     back = std::max(back, state.store_reached_at);
-  return back > TimePoint() ? back + config::kRegistryRecoveryTime : back;
+  return back > TimePoint() ? back + config::kEntryReturnTime : back;
 }
 
 void on_servers_listed(State& state, const ServersListed& listed, TimePoint now,
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -22,8 +22,7 @@
 bool in_or_after_outage(const State& state, TimePoint now);
 /// When every server that is up has had time to register again since the store
 /// last came back; empty during an outage. A daemon that has just started does
-/// not know when the store came back, unless the whole system starts for the
-/// first time.
+/// not know when a store that may have been restored came back.
 std::optional<TimePoint> entries_return_by(const State& state);
 /// Whether new requests may be sent to the server.
 bool accepts_work(const ServerState& server);
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -13,9 +13,6 @@
 /// Settings of a daemon, read at its start.
 struct Settings {
   DaemonRecord self;
-  /// Whether the whole system is starting for the first time, so that the store
-  /// cannot have lost entries of servers.
-  bool first_start = false;
   /// Region of each availability zone.
   std::map<ZoneName, RegionName> regions;
   /// Addresses of daemons to send heartbeats to before the store has answered.
--- a/tests/store_restored_test.cc
+++ b/tests/store_restored_test.cc
@@ -233,6 +233,17 @@
   expect_served_within(kRecoveryTime);
 }
 
+// Guards against a holder that is overlooked because the settings still state
+// the first start of the whole system.
+TEST_P(FirstMapRestored, ServersThatRegisterLateKeepNoKeysOfOthers) {
+  store_.take_copy();
+  start_fleet(81);
+  add_board();
+  watch_owners();
+  lose_map_and_start(81, milliseconds(1500));
+  expect_served_within(kRecoveryTime);
+}
+
 // Guards against the same beside a store that is slow on watches.
 TEST_P(FirstMapRestored, KeysAreRecalledBesideASlowStore) {
   store_.take_copy();
