Wait for coordinators whose records the store has lost

Two servers could hold keys for up to 15 s after a drill to a copy from before the first map: an added daemon granted the keys of a server that it could not reach to another one, while a coordinator that it did not know renewed them.

Cause: the wait for lost grants was shortened to the longest grant as soon as no known daemon could have made any. The store has lost records of daemons with the map, so that a coordinator need not be known. Change: the wait of a first map stays 15 s and the longest grant beside a store that may have been restored, unless all servers answer the recall.

--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -46,9 +46,10 @@
   return now + renewing + longest_hold(state.settings);
 }
 
-/// No daemon that may have made lost grants renews them any more.
+/// No known daemon that may have made lost grants renews them any more.
 void bound_lost_grants(const State& state, CoordinatorRole& role,
                        TimePoint now) {
+  if (role.unknown_coordinators) return;
   Duration rest =
       role.grants_may_be_lost ? longest_hold(state.settings) : Duration(0);
   role.lost_grants_until = std::min(*role.lost_grants_until, now + rest);
@@ -93,6 +94,9 @@
     // Grants lost before this daemon adopted the map are not those of which it
     // knows that there are none.
     bool lost_before = !before || before->grants_lost;
+    // A daemon without the map has not known the fleet before the restoration.
+    map.coordinator_role->unknown_coordinators =
+        lost_before && current_era(state) > StoreEra();
     expect_lost_grants(state, *map.coordinator_role, term_before, lost_before,
                        now);
     if (lost_before) start_recall(*map.coordinator_role, *map.map, now);
@@ -472,6 +476,7 @@
     CoordinatorRole& role = *map.coordinator_role;
     bool lost_before =
         role.lost_grants_until.has_value() && now < *role.lost_grants_until;
+    role.unknown_coordinators = role.unknown_coordinators && lost_before;
     expect_lost_grants(state, role, map.map->term, lost_before, now);
     log_event(effects, "map_lost",
               {{"service", service.str()},
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -245,6 +245,8 @@
   std::optional<KeyRecall> recall;
   /// Daemons that may have made such grants, and may still renew them.
   std::vector<DaemonIncarnation> lost_coordinators;
+  /// The store may have lost the records of others.
+  bool unknown_coordinators = false;
   /// Whether one of them may have, although none renews them any more.
   bool grants_may_be_lost = false;
   /// The term before the loss, as far as this daemon knows.
