Renew lost grants only while the store confirms the map

Two servers could hold keys: a coordinator that had one answer of a restored store, and was cut off from it again before it could read its map, renewed its grants for 15 s more, longer than another daemon waits for them.

Cause: any answer of the store counted as a sign that it has not been replaced. After a restoration an answer need not concern its map. Change: while its map is lost, the 15 s run from the last answer about it. Result: ItDoesNotRenewLongerAfterAnAnswer fails without the change (1792 samples of a key at two servers) and passes with it, as do first_map_test, store_restored_ownership_test and store_restored_property_test.

--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -201,8 +201,12 @@
 }
 
 /// A coordinator that cannot reach the store for long may have been replaced.
-bool may_send_orders(const State& state, TimePoint now) {
-  return now - state.store_answered_at < config::kMaxRenewalWithoutStore;
+/// After a restoration, only an answer about its map shows that it has not
+/// been.
+bool may_send_orders(const State& state, const MapState& map, TimePoint now) {
+  TimePoint confirmed =
+      is_lost(state, map) ? map.confirmed_at : state.store_answered_at;
+  return now - confirmed < config::kMaxRenewalWithoutStore;
 }
 
 void run_coordinator_role(State& state, const ServiceName& service,
@@ -213,7 +217,7 @@
     map.next_read = now + config::kMapCheckInterval;
     effects.emplace_back(ReadMap{service});
   }
-  if (!may_send_orders(state, now)) {
+  if (!may_send_orders(state, map, now)) {
     map.must_verify = true;
     return end_coordinator_role(map, "store_silent", effects);
   }
--- a/tests/first_map_test.cc
+++ b/tests/first_map_test.cc
@@ -210,6 +210,18 @@
   expect_no_violations();
 }
 
+// Guards against a coordinator that goes on renewing because it has had an
+// answer, although not about its map.
+TEST_F(UnheardCoordinator, ItDoesNotRenewLongerAfterAnAnswer) {
+  add_daemon();
+  world_.run_for(seconds(6));
+  world_.post(coordinator_, StoreEraSeen{*world_.store_era});
+  world_.post(coordinator_, StoreAnswered());
+  EXPECT_LT(time_until_held(kRecoveryTime), kRecoveryLimit);
+  world_.run_for(kRecoveryTime);
+  expect_no_violations();
+}
+
 // Guards against a first start that waits like one after a loss, although the
 // store can have lost nothing.
 TEST_F(LostFirstMap, FirstStartBesideAStoreWithoutErasDoesNotWait) {
