Take only the record of a later process for the end of a coordinator

A running coordinator was replaced 0.6 s after a drill by a daemon that did not hear it, although a third one did.

Cause: has_ended compared the process of a map with that of the daemon's record, and took any other one for its successor. A restored store lists records of earlier processes. Such a coordinator also counted as stopped when the grants of its term were waited for. Change: the record has to be that of a later process. One that starts after the clock was set back is noticed by its heartbeats, as before. Result: EarlierRecordDoesNotEndARunningCoordinator fails without the change (replaced from 600 ms on) and passes with it; the tests of ownership, of restorations and the property tests of both pass.

--- a/src/fleet/election.cc
+++ b/src/fleet/election.cc
@@ -136,8 +136,9 @@
 
 bool has_ended(const State& state, const DaemonIncarnation& daemon) {
   auto known = state.fleet.daemon_records.find(daemon.name);
+  // A restored store may list the record of an earlier process.
   return known != state.fleet.daemon_records.end() &&
-         known->second.incarnation != daemon.incarnation;
+         known->second.incarnation > daemon.incarnation;
 }
 
 DaemonIncarnation coordinator_of(const OwnerMap& map) {
--- a/src/fleet/election.h
+++ b/src/fleet/election.h
@@ -11,7 +11,7 @@
 /// Whether this daemon should write itself into the map as coordinator.
 bool should_take_over(const State& state, const ServiceName& service,
                       const MapState& map, TimePoint now);
-/// Whether another process is known to run in place of the daemon's.
+/// Whether a later process is known to run in place of the daemon's.
 bool has_ended(const State& state, const DaemonIncarnation& daemon);
 DaemonIncarnation coordinator_of(const OwnerMap& map);
 /// Whether the map names this daemon as its coordinator.
