Give each era of the store its own range of epochs

After two drills to a copy from before the first map, the first with the loss of the coordinator, a server was granted keys with a lower epoch than another one had them with.

Cause: a first map began at one step of epochs for each era, a takeover from a lost map added two, so that the next era's first map met its numbers. Change: an era has 16 steps of its own; first maps and lost ones both begin there.

--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -415,9 +415,13 @@
 inline constexpr Duration kEntryReturnTime = milliseconds(2200);
 /// Check-in intervals of silence after which the registry drops an entry.
 inline constexpr std::int64_t kEntryExpiryCheckIns = 3;
-/// Added to terms and epochs for each restoration of the store. It exceeds the
-/// numbers that the store can have lost, so that none is given out twice.
-inline constexpr std::uint64_t kEpochsPerEra = std::uint64_t{1} << 20;
+/// Added to terms and epochs by a coordinator whose map the store has lost. It
+/// exceeds the numbers that the store can have lost, so that none is given out
+/// twice.
+inline constexpr std::uint64_t kEpochsPerLoss = std::uint64_t{1} << 20;
+/// Terms and epochs of each era of the store: more than all coordinators of one
+/// era can add. Those of a later era are higher, whoever gives them out.
+inline constexpr std::uint64_t kEpochsPerEra = 16 * kEpochsPerLoss;
 
 // Copies of the store.
 /// Longest wait of a store watch that only this daemon depends on. A dead
--- a/src/fleet/replan.cc
+++ b/src/fleet/replan.cc
@@ -461,6 +461,11 @@
   return join_idle_ranges(service, map, next, input, now, effects);
 }
 
+/// All terms and epochs of earlier eras are at most this one.
+std::uint64_t last_of_earlier_eras(const State& state) {
+  return current_era(state).value * config::kEpochsPerEra;
+}
+
 }  // namespace
 
 std::optional<OwnerMap> first_map(const State& state,
@@ -474,10 +479,10 @@
   map.coordinator = state.settings.self.name;
   map.coordinator_incarnation = state.settings.self.incarnation;
   // Terms and epochs of a map that the store has lost are not given out again.
-  std::uint64_t lost = current_era(state).value * config::kEpochsPerEra;
-  map.term = TermEpoch(lost + 1);
+  std::uint64_t last_before = last_of_earlier_eras(state);
+  map.term = TermEpoch(last_before + 1);
   // The epoch before those of the ranges is that of the recall.
-  map.last_epoch = Epoch(lost + 2);
+  map.last_epoch = Epoch(last_before + 2);
   map.ranges = initial_ranges(servers, map.last_epoch);
   // The store cannot tell a service that never had a map from one whose map it
   // has lost.
@@ -489,14 +494,14 @@
 
 /// Raises the term and the last epoch above all that may have been given out
 /// since the store's copy was taken.
-void raise_after_loss(const State& state, std::uint64_t steps_per_era,
+void raise_after_loss(const State& state, std::uint64_t losses,
                       OwnerMap& next) {
-  std::uint64_t eras =
-      std::max<std::uint64_t>(1, current_era(state).value - next.era.value);
-  std::uint64_t steps = steps_per_era * eras;
-  next.term = TermEpoch(next.term.value + steps * config::kEpochsPerEra);
-  next.last_epoch =
-      Epoch(next.last_epoch.value + steps * config::kEpochsPerEra);
+  auto raised = [&](std::uint64_t last) {
+    return std::max(last, last_of_earlier_eras(state)) +
+           losses * config::kEpochsPerLoss;
+  };
+  next.term = TermEpoch(raised(next.term.value));
+  next.last_epoch = Epoch(raised(next.last_epoch.value));
 }
 
 /// Whether this daemon knew the last changes before the store lost them. Their
--- a/tests/first_map_test.cc
+++ b/tests/first_map_test.cc
@@ -116,6 +116,25 @@
   expect_no_violations();
 }
 
+// Guards against a first map with epochs that a takeover has given out, in an
+// earlier era of the store.
+TEST_F(LostFirstMap, EpochsAreAboveThoseOfATakeoverInTheEraBefore) {
+  world_.run_for(kServingTime);
+  auto coordinator = world_.coordinator();
+  ASSERT_TRUE(coordinator);
+  world_.stop_store();
+  world_.kill(*coordinator);
+  world_.restore_copy();
+  world_.restore_store();
+  world_.run_for(kRecoveryTime);
+  ASSERT_TRUE(world_.all_held());
+  lose_map();
+  start_again();
+  world_.run_for(kRecoveryTime);
+  expect_no_violations();
+  EXPECT_TRUE(world_.all_held());
+}
+
 /// A daemon is added while the others have not noticed yet that the store has
 /// lost the map.
 class AddedDaemon : public LostFirstMap {
@@ -222,6 +241,46 @@
   expect_no_violations();
 }
 
+/// All running daemons are paused while the store loses the map, and one is
+/// added before they go on.
+class PausedDaemons : public LostFirstMap {
+ protected:
+  void pause_and_add(Duration pause) {
+    world_.kill(kAdded);
+    world_.run_for(kServingTime);
+    world_.add_server(world_.servers().size());
+    world_.run_for(seconds(2));
+    ASSERT_TRUE(world_.all_held());
+    for (std::size_t i = 0; i < kAdded; ++i) world_.freeze(i);
+    world_.stop_store();
+    world_.run_for(milliseconds(300));
+    world_.restore_copy();
+    world_.restore_store();
+    world_.start(kAdded);
+    world_.run_for(pause);
+    for (std::size_t i = 0; i < kAdded; ++i) world_.thaw(i);
+  }
+  /// How long any key was without an owner within the time given.
+  Duration time_without_owner(Duration duration) {
+    Duration without{0};
+    for (TimePoint end = world_.now() + duration; world_.now() < end;) {
+      world_.run_for(config::kTickInterval);
+      if (!world_.all_held()) without += config::kTickInterval;
+    }
+    return without;
+  }
+
+  static constexpr std::size_t kAdded = 2;
+};
+
+// Guards against a second wait for lost grants, of which the added daemon knows
+// that there are none.
+TEST_F(PausedDaemons, KeysAreServedSoonAfterTheyGoOn) {
+  pause_and_add(seconds(4));
+  EXPECT_LT(time_without_owner(kRecoveryTime), seconds(5));
+  expect_no_violations();
+}
+
 // Guards against a first start that waits like one after a loss, although the
 // store can have lost nothing.
 TEST_F(LostFirstMap, FirstStartBesideAStoreWithoutErasDoesNotWait) {
--- a/tests/store_restored_property_test.cc
+++ b/tests/store_restored_property_test.cc
@@ -261,6 +261,11 @@
   check_with_early_copy(353);
 }
 
+// Guards against epochs of a first map that an earlier era has given out.
+TEST(StoreRestoredProperty, TracedSeedsOfSeveralEras) {
+  check_with_early_copy(20515);
+}
+
 // Seeds that have found a fault.
 TEST(StoreRestoredProperty, TracedSeeds) {
   for (std::uint32_t seed : {24u, 385u, 899u, 3087u, 3879u, 4880u, 8305u})
--- a/tests/store_restored_test.cc
+++ b/tests/store_restored_test.cc
@@ -212,6 +212,18 @@
     wait(late);
     list(*boards_[0], "board");
   }
+  /// No key is without an owner for as long as kRecoveryTime.
+  void expect_always_served(const Process& process, Duration duration) {
+    TimePoint served_at = io::steady_now();
+    Duration longest{0};
+    for (TimePoint end = served_at + duration; io::steady_now() < end;) {
+      bool served = all_keys_served(callers(process), "always");
+      longest = std::max(longest, io::steady_now() - served_at);
+      if (served) served_at = io::steady_now();
+      wait(milliseconds(50));
+    }
+    EXPECT_LT(longest, kRecoveryTime);
+  }
   void expect_served_within(Duration limit) {
     for (const Process& process : processes_) {
       EXPECT_TRUE(run_until(
@@ -244,6 +256,27 @@
   expect_served_within(kRecoveryTime);
 }
 
+// Guards against keys that lose their owners once more when paused daemons go
+// on, of which one was the coordinator.
+TEST_P(FirstMapRestored, PausedDaemonsGoOnBesideAnAddedOne) {
+  store_.take_copy();
+  start_fleet(83);
+  add_board();
+  watch_owners();
+  for (const Process& process : processes_) ::kill(process.pid, SIGSTOP);
+  store_.down = true;
+  wait(milliseconds(300));
+  store_.restore_copy();
+  write_again();
+  store_.down = false;
+  Process& added = start(85, more_settings_);
+  wait(seconds(4));
+  for (const Process& process : processes_) ::kill(process.pid, SIGCONT);
+  wait(milliseconds(300));
+  expect_always_served(added, seconds(12));
+  EXPECT_EQ(grants_of_held_keys_, 0);
+}
+
 // Guards against the same beside a store that is slow on watches.
 TEST_P(FirstMapRestored, KeysAreRecalledBesideASlowStore) {
   store_.take_copy();
