Wait for daemons that have been silent here

Two servers could hold keys after a drill: a daemon that had not heard the coordinator for 27 s took over and granted the keys of a server that it could not reach 8.9 s later, while the coordinator, cut off from the store, renewed them.

Cause: a daemon that this one has not heard for longer than its grants can last without the store was left out of those that may have made lost grants. Others may have heard it, and it may have reached the store until the drill. Change: all recorded daemons are waited for. Result: UnheardCoordinatorIsWaitedFor fails before (20352 samples of a key at two servers) and passes. ForgottenCoordinatorIsWaitedFor passes before and after: a record that was dropped is read again from the copy.

--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -55,15 +55,6 @@
   role.lost_grants_until = std::min(*role.lost_grants_until, now + rest);
 }
 
-/// Whether the daemon has been silent for so long that no grant of it lasts.
-bool has_been_silent(const State& state, const DaemonName& daemon,
-                     TimePoint now) {
-  auto peer = state.fleet.peers.find(daemon);
-  return peer != state.fleet.peers.end() &&
-         now - peer->second.received_at >
-             config::kMaxRenewalWithoutStore + longest_hold(state.settings);
-}
-
 /// Takes note that servers may hold keys by grants which this coordinator does
 /// not know. They have ended once every daemon that may have made them has
 /// stopped renewing, and the longest hold has passed.
@@ -76,7 +67,8 @@
   role.recall.reset();
   role.lost_coordinators.clear();
   for (const auto& [name, daemon] : state.fleet.daemon_records) {
-    if (name != state.settings.self.name && !has_been_silent(state, name, now))
+    // Others may have heard one that has been silent here.
+    if (name != state.settings.self.name)
       role.lost_coordinators.push_back({name, daemon.incarnation});
   }
   if (role.lost_coordinators.empty()) bound_lost_grants(state, role, now);
--- a/tests/store_restored_ownership_test.cc
+++ b/tests/store_restored_ownership_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "fleet/leases.h"
 #include "tests/fleet_world.h"
 
 /// Ownership of keys while the store comes back from an older copy.
@@ -168,5 +169,51 @@
       << world.violations.size() << ", " << world.violations.front();
 }
 
+/// A daemon that has not heard the coordinator for a while takes over after a
+/// restoration. Another one has heard it until then.
+void take_over_from_unheard(Duration unheard) {
+  FleetWorld world(3, 4, 5);
+  world.store_era = StoreEra(1);
+  world.check_epochs = true;
+  world.run_for(kSettlingTime);
+  auto found = world.coordinator();
+  ASSERT_TRUE(found);
+  std::size_t coordinator = *found;
+  std::size_t unaware = (coordinator + 2) % 3;
+  std::size_t third = (coordinator + 1) % 3;
+  world.cut_links.insert({coordinator, unaware});
+  world.run_for(unheard);
+  ASSERT_EQ(world.coordinator(), coordinator);
+  world.take_copy();
+  // Keys move after the last sign of the coordinator.
+  world.kill(third);
+  world.drain_server(1);
+  world.run_for(milliseconds(700));
+  world.post(coordinator, StoreAnswered());
+  // It reaches only a server that the others do not reach.
+  world.cut_from_store.insert(coordinator);
+  world.cut_links.insert({coordinator, third});
+  world.cut_from_servers.insert({unaware, 0});
+  world.cut_from_servers.insert({third, 0});
+  world.restore_copy();
+  world.restore_store();
+  world.start(third);
+  world.run_for(kRecoveryTime);
+  EXPECT_TRUE(world.violations.empty())
+      << world.violations.size() << ", " << world.violations.front();
+}
+
+// Guards against a coordinator that is taken for ended because this daemon has
+// not heard it for long, although others have.
+TEST(StoreRestoredOwnership, UnheardCoordinatorIsWaitedFor) {
+  take_over_from_unheard(config::kMaxRenewalWithoutStore +
+                         longest_hold(Settings()) + seconds(2));
+}
+
+// Guards against the same once its record has been dropped.
+TEST(StoreRestoredOwnership, ForgottenCoordinatorIsWaitedFor) {
+  take_over_from_unheard(config::kDaemonRetention + seconds(2));
+}
+
 }  // namespace
 }  // namespace eelgrasspin::fleet
