Name a structured binding in a lambda's capture as the linter asks

Cause: clang takes a captured structured binding for an error, so that lint.sh failed for every test with the stand-in of the store. Change: the capture names a copy. Result: the build is unchanged; lint.sh runs with the whole check.

--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -167,7 +167,7 @@
     if (request.method == "GET" && !since.empty()) {
       if (watch_delay.count() == 0)
         return watch(exchange, kind, std::stoull(since));
-      return delay(watch_delay, [this, exchange, kind, since] {
+      return delay(watch_delay, [this, exchange, kind = kind, since] {
         watch(exchange, kind, std::stoull(since));
       });
     }
