--- a/tests/store_restored_ownership_test.cc
+++ b/tests/store_restored_ownership_test.cc
@@ -133,35 +133,35 @@
   FleetWorld world(3, 4, 5);
   world.store_era = StoreEra(1);
   world.run_for(kSettlingTime);
-  auto first = world.coordinator();
-  ASSERT_TRUE(first);
-  std::size_t other = (*first + 1) % world.daemons();
+  auto predecessor = world.coordinator();
+  ASSERT_TRUE(predecessor);
+  std::size_t coordinator = (*predecessor + 1) % world.daemons();
   world.take_copy();
   // The next process of that machine coordinates, which the copy lacks.
-  world.kill(other);
-  world.start(other);
+  world.kill(coordinator);
+  world.start(coordinator);
   world.run_for(seconds(2));
   for (std::size_t i = 0; i < world.daemons(); ++i) {
-    if (i != other) world.kill(i);
+    if (i != coordinator) world.kill(i);
   }
   world.run_for(seconds(4));
-  ASSERT_EQ(world.coordinator(), other);
+  ASSERT_EQ(world.coordinator(), coordinator);
   // It is heard by all daemons but one, which reads the records of the copy.
-  std::size_t unaware = *first;
-  std::size_t third = world.daemons() - other - unaware;
-  world.cut_links.insert({other, unaware});
+  std::size_t unaware = *predecessor;
+  std::size_t third = world.daemons() - coordinator - unaware;
+  world.cut_links.insert({coordinator, unaware});
   world.start(third);
   world.start(unaware);
   world.run_for(seconds(3));
-  ASSERT_EQ(world.coordinator(), other);
-  world.post(other, StoreAnswered());
+  ASSERT_EQ(world.coordinator(), coordinator);
+  world.post(coordinator, StoreAnswered());
   world.stop_store();
-  world.cut_from_store.insert(other);
+  world.cut_from_store.insert(coordinator);
   world.after(seconds(2), [&] { world.cut_from_store.clear(); });
   restore(world);
   for (int i = 0; i < 30; ++i) {
     world.run_for(milliseconds(100));
-    EXPECT_TRUE(world.state(other).maps.at(kBoard).coordinator_role)
+    EXPECT_TRUE(world.state(coordinator).maps.at(kBoard).coordinator_role)
         << "after " << i * 100 << " ms";
   }
   world.run_for(kRecoveryTime);
--- a/tests/store_restored_test.cc
+++ b/tests/store_restored_test.cc
@@ -182,8 +182,8 @@
   EXPECT_EQ(grants_of_held_keys_, 0);
 }
 
-/// The copy is older than the first owner map, and all daemons lose power. With
-/// both values of self.bootstrap in the settings.
+/// The copy is older than the first owner map, so that the store loses the only
+/// one. With both values of self.bootstrap, which must not matter.
 class FirstMapRestored : public StoreRestored,
                          public ::testing::WithParamInterface<bool> {
  protected:
@@ -200,7 +200,8 @@
              !boards_.back()->ran.empty();
     }));
   }
-  /// The entry of a server is written again `late` after the others'.
+  /// All daemons lose power meanwhile. The entry of a server is written again
+  /// `late` after the others'.
   void lose_map_and_start(int first_number, Duration late) {
     store_.down = true;
     kill_all();
@@ -214,7 +215,7 @@
     wait(late);
     list(*boards_[0], "board");
   }
-  /// No key is without an owner for as long as kRecoveryTime.
+  /// Expects that no key is without service for as long as kRecoveryTime.
   void expect_always_served(const Process& process, Duration duration) {
     TimePoint served_at = io::steady_now();
     Duration longest{0};
