Wait for grants that were answered with a refusal

Callers' keys could be held by two servers. A grant counted as carried out only after a 200 or without an answer. A server that had carried it out and whose answer was another one (a late copy of the answer to an earlier grant on the connection, or a 409 for only some of the keys) was in no record: when its keys moved, they counted as expired at once, without a wait or a release.

Only an order that was not sent proves that there is no hold. All others are recorded, refusals as if they were unanswered. A release still ends the wait at once, so that only a server that does not answer it is waited for longer.

GrantAnsweredWithARefusalIsWaitedFor failed before: "key 16384 at s0 and s1".

--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -415,13 +415,12 @@
 
 void record_grant(const Settings& settings, CoordinatorRole& coordinator_role,
                   const Order& order, OrderResult result, TimePoint now) {
-  bool carried_out = result == OrderResult::kDone;
-  bool unanswered = result == OrderResult::kUnanswered;
-  if (!carried_out && !unanswered) return;
-  // An answered grant has arrived before its answer.
-  TimePoint until =
-      now + (carried_out ? expiry_after_arrival(order.hold)
-                         : expiry_after_end(settings, order.hold));
+  // A refusal may be a late answer to another grant, or cover only some keys.
+  if (result == OrderResult::kNotSent) return;
+  // A grant that was carried out has arrived before its answer.
+  TimePoint until = now + (result == OrderResult::kDone
+                               ? expiry_after_arrival(order.hold)
+                               : expiry_after_end(settings, order.hold));
   record_possible_grant(coordinator_role,
                         {order.first, order.last, order.server, until}, now);
 }
--- a/tests/fleet_ownership_test.cc
+++ b/tests/fleet_ownership_test.cc
@@ -261,6 +261,23 @@
   }
 }
 
+/// Guards against taking a refusal for proof that a grant was not carried out:
+/// it may be the late answer to an earlier grant.
+TEST(FleetOwnership, GrantAnsweredWithARefusalIsWaitedFor) {
+  for (OrderResult result : {OrderResult::kFenced, OrderResult::kInvalid,
+                             OrderResult::kOtherServer}) {
+    FleetWorld world(3, 4, 25);
+    world.servers()[1].grant_result = result;
+    world.run_for(kSettlingTime);
+    world.servers()[1].reachable = false;
+    world.drain_server(1);
+    world.run_for(seconds(12));
+    EXPECT_TRUE(world.all_held()) << order_result_name(result);
+    EXPECT_TRUE(world.violations.empty())
+        << order_result_name(result) << ": " << world.violations[0];
+  }
+}
+
 /// Guard: a restarted server holds no keys and is granted them at a higher
 /// epoch.
 TEST(FleetOwnership, RestartedServerIsGrantedItsKeysAgain) {
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -36,6 +36,8 @@
   bool resets_connections = false;  ///< Cut off; connections are refused.
   bool readdressed = false;         ///< Ended; another service has its address.
   bool silent = false;              ///< Accepts orders and answers none.
+  /// How grants that are carried out end, in place of kDone.
+  std::optional<OrderResult> grant_result;
   struct Hold {
     TimePoint until;
     Epoch highest_epoch;
@@ -714,13 +716,13 @@
                        }
                      });
       }
-      bool refused = fenced(there, order);
-      if (!refused) carry_out(there, order, arrived);
-      after(milliseconds(2), [this, daemon, incarnation, order, refused] {
-        post(daemon, incarnation,
-             OrderEnded{order.order,
-                        refused ? OrderResult::kFenced : OrderResult::kDone, "",
-                        ""});
+      OrderResult result = OrderResult::kFenced;
+      if (!fenced(there, order)) {
+        carry_out(there, order, arrived);
+        result = there.grant_result.value_or(OrderResult::kDone);
+      }
+      after(milliseconds(2), [this, daemon, incarnation, order, result] {
+        post(daemon, incarnation, OrderEnded{order.order, result, "", ""});
       });
     });
   }
