--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -139,9 +139,10 @@
                   ? new_connection(call.address)
                   : take_connection(call.address, call.repeatable);
   if (!busy.connection) return fail_for_room(std::move(done));
-  busy.last_exchange = call.last_on_connection;
-  busy_[number] = busy;
-  busy.connection->exchange_checked(
+  busy.keeps_connection = std::move(call.keeps_connection);
+  auto connection = busy.connection;
+  busy_[number] = std::move(busy);
+  connection->exchange_checked(
       call.request, call.timeout,
       {std::move(call.matches_request), std::move(call.may_send)},
       [this, number, address = call.address,
@@ -181,8 +182,9 @@
     // The other idle connections may be stalled as well.
     for (const Idle& idle : idle_connections) idle.connection->close();
     idle_connections.clear();
-  } else if (connection->idle() && !busy.last_exchange &&
-             idle_connections.size() < kMaxIdlePerServer) {
+  } else if (connection->idle() &&
+             idle_connections.size() < kMaxIdlePerServer &&
+             (!busy.keeps_connection || busy.keeps_connection(*response))) {
     idle_connections.push_back(
         {std::move(connection), keep_alive_of(*response),
          busy.carried_failure || response->status >= kLowestFailureStatus});
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -24,8 +24,8 @@
     bool repeatable = false;
     HttpResponseCheck matches_request;
     bool on_new_connection = false;
-    /// The connection is closed after this exchange.
-    bool last_on_connection = false;
+    /// Whether the connection may be reused after the response; empty: it may.
+    HttpResponseCheck keeps_connection;
     /// As in HttpExchangeChecks.
     std::function<bool()> may_send;
   };
@@ -71,8 +71,8 @@
     std::shared_ptr<HttpConnection> connection;
     bool reused = false;
     Duration idle_time{0};  ///< Before this call; 0 for a new connection.
-    bool carried_failure = false;  ///< In an earlier call.
-    bool last_exchange = false;    ///< The connection is closed after it.
+    bool carried_failure = false;        ///< In an earlier call.
+    HttpResponseCheck keeps_connection;  ///< As in Call.
   };
   std::size_t idle_count() const;
   /// Closes idle connections until another one is allowed.
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -342,7 +342,7 @@
         return format_.matches_request(caller_request_id, response);
       },
       attempt.on_new_connection,
-      false,
+      nullptr,
       [exchange] { return exchange->client_waits(steady_now()); }};
   TimePoint sent = boottime_now();
   attempt_calls_[attempt.id] = backend_pool_.start(
--- a/tests/key_orders_test.cc
+++ b/tests/key_orders_test.cc
@@ -117,6 +117,8 @@
                     std::to_string(acceptor_.local_endpoint().port()));
   }
   bool repeats_last_answer = false;
+  /// Status line and header fields of answers to grants.
+  std::string grant_header = "200 OK\r\n";
   std::size_t connections() const { return peers_.size(); }
 
  private:
@@ -142,11 +144,11 @@
           if (failed) return;
           std::string_view request(peer.buffer.data(), count);
           std::string text = repeats_last_answer ? peer.last_answer : "";
-          peer.last_answer = request.starts_with("POST /release")
-                                 ? "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-                                   "X-Eelgrasspin-Handover: warm\r\n\r\n{}"
-                                 : "HTTP/1.1 200 OK\r\n"
-                                   "Content-Length: 2\r\n\r\n{}";
+          peer.last_answer =
+              request.starts_with("POST /release")
+                  ? "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                    "X-Eelgrasspin-Handover: warm\r\n\r\n{}"
+                  : "HTTP/1.1 " + grant_header + "Content-Length: 2\r\n\r\n{}";
           text += peer.last_answer;
           boost::asio::write(peer.socket, boost::asio::buffer(text));
           receive(peer);
@@ -232,6 +234,33 @@
   EXPECT_EQ(server.connections(), 2u);
 }
 
+/// Guards against taking a late copy of the refusal of a grant for the answer
+/// to the next one, which the server carries out.
+TEST_F(KeyOrdersTest, CopyOfARefusalDoesNotRefuseTheNextGrant) {
+  for (const char* refusal : {"400 Bad\r\n", "409 Fenced\r\n", "421 Other\r\n",
+                              "429 Busy\r\n", "500 Failed\r\n"}) {
+    RepeatingServer server(io_);
+    server.grant_header = refusal;
+    EXPECT_NE(grant(server.endpoint())->result, OrderResult::kDone);
+    server.repeats_last_answer = true;
+    server.grant_header = "200 OK\r\n";
+    EXPECT_EQ(grant(server.endpoint())->result, OrderResult::kDone) << refusal;
+  }
+}
+
+/// Guards against taking a late copy of the refusal of a grant for proof that
+/// the server has ended: it holds the keys until it answers the release.
+TEST_F(KeyOrdersTest, CopyOfAGrantsRefusalDoesNotEndARelease) {
+  for (const char* refusal :
+       {"421 Other\r\n", "400 Bad\r\nX-Eelgrasspin-Not-Run: 1\r\n"}) {
+    RepeatingServer server(io_);
+    server.grant_header = refusal;
+    EXPECT_NE(grant(server.endpoint())->result, OrderResult::kDone);
+    server.repeats_last_answer = true;
+    EXPECT_EQ(release(server.endpoint()).result, OrderResult::kDone) << refusal;
+  }
+}
+
 /// Guards against orders that take effect after they were given up: bytes that
 /// a cut holds up would be delivered after it.
 TEST_F(KeyOrdersTest, GrantGivenUpDuringACutIsNotDeliveredAfterIt) {
