Count no answer to an order before the order has arrived

A copy of the answer to an earlier grant may come while the next grant waits in the kernel for a path that is cut or a full window. Its hold was counted from before its arrival, and its connection stayed open, so that the grant was delivered later.

An answer counts once the server's host has acknowledged the whole order (SIOCOUTQ is 0); else the exchange fails, which resets the connection. A genuine answer acknowledges its order. One system call an order; where the system does not tell, the answer counts as before.

--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -144,7 +144,8 @@
   busy_[number] = std::move(busy);
   connection->exchange_checked(
       call.request, call.timeout,
-      {std::move(call.matches_request), std::move(call.may_send)},
+      {std::move(call.matches_request), std::move(call.may_send),
+       call.response_follows_arrival},
       [this, number, address = call.address,
        done = std::move(done)](HttpResult result) {
         ConnectionUse use = finish(number, address, result);
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -28,6 +28,7 @@
     HttpResponseCheck keeps_connection;
     /// As in HttpExchangeChecks.
     std::function<bool()> may_send;
+    bool response_follows_arrival = false;
   };
 
   /// What is known of the connection that a call used.
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -1,5 +1,8 @@
 #include "io/http_client.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -367,6 +370,9 @@
       new_parser();
       return buffer_.size() > 0 ? parse() : read_more();
     }
+    if (checks_.response_follows_arrival && !request_has_arrived()) {
+      return fail(HttpFailureKind::kTruncated, "response before the request");
+    }
     checks_ = {};
     ++response_count_;
     last_response_time_ = steady_now();
@@ -384,6 +390,15 @@
     if (done) done(std::move(response));
   }
 
+  /// Whether the server's host has acknowledged all that was sent; true also
+  /// where the system does not tell.
+  bool request_has_arrived() {
+    int outstanding_bytes = 0;
+    if (writing_ || write_failed_) return false;
+    int failed = ::ioctl(socket_.native_handle(), SIOCOUTQ, &outstanding_bytes);
+    return failed != 0 || outstanding_bytes == 0;
+  }
+
   void fail(HttpFailureKind kind, std::string why) {
     fail(HttpFailure{kind, std::move(why)});
   }
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -49,6 +49,9 @@
   /// Asked once a new connection has been made; if false, nothing is sent and
   /// the exchange fails as kConnectTimeout. It may close the connection.
   std::function<bool()> may_send;
+  /// For requests that no response names: one that comes before the server's
+  /// host has acknowledged the whole request fails the exchange as kTruncated.
+  bool response_follows_arrival = false;
 };
 
 /// One HTTP/1.1 connection with at most one exchange at a time. Not thread
--- a/tests/key_orders_test.cc
+++ b/tests/key_orders_test.cc
@@ -159,6 +159,45 @@
   std::list<Peer> peers_;
 };
 
+/// A server that reads nothing, so that orders stay in their sender's kernel
+/// once its receive buffer is full. It answers when it is told to.
+class UnreadingServer {
+ public:
+  explicit UnreadingServer(boost::asio::io_context& io) : acceptor_(io) {
+    acceptor_.open(tcp::v4());
+    acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(1));
+    acceptor_.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    acceptor_.listen();
+    accept();
+  }
+  Endpoint endpoint() const {
+    return Endpoint("127.0.0.1:" +
+                    std::to_string(acceptor_.local_endpoint().port()));
+  }
+  std::size_t connections() const { return peers_.size(); }
+  /// Bytes that have arrived on the latest connection.
+  std::size_t received() const {
+    return peers_.empty() ? 0 : peers_.back().available();
+  }
+  void answer() {
+    std::string_view text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    boost::asio::write(peers_.back(),
+                       boost::asio::buffer(text.data(), text.size()));
+  }
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](error_code failed, tcp::socket socket) {
+      if (failed) return;
+      peers_.push_back(std::move(socket));
+      accept();
+    });
+  }
+
+  tcp::acceptor acceptor_;
+  std::list<tcp::socket> peers_;
+};
+
 class KeyOrdersTest : public ::testing::Test {
  protected:
   KeyOrdersTest()
@@ -261,6 +300,29 @@
   }
 }
 
+/// Guards against counting a hold from before its grant arrives: a late copy of
+/// the answer to an earlier grant comes while the grant waits for its path.
+TEST_F(KeyOrdersTest, AnswerBeforeTheGrantHasArrivedIsNoAnswer) {
+  UnreadingServer server(io_);
+  std::size_t order_bytes = 0;
+  OrderResult result = OrderResult::kDone;
+  for (std::size_t i = 0; i < 200 && result == OrderResult::kDone; ++i) {
+    std::optional<fleet::OrderEnded> ended;
+    orders_.grant({1, ServerName("i-1"), server.endpoint(), kFirst, kLast,
+                   Epoch(1), seconds(4), ""},
+                  [&](const fleet::OrderEnded& end) { ended = end; });
+    run_for(io_, std::chrono::milliseconds(20));
+    ASSERT_EQ(server.connections(), 1u);
+    if (i == 0) order_bytes = server.received();
+    bool arrived = server.received() == (i + 1) * order_bytes;
+    server.answer();
+    ASSERT_TRUE(run_until(io_, [&] { return ended.has_value(); }));
+    result = ended->result;
+    ASSERT_EQ(result == OrderResult::kDone, arrived) << "grant " << i;
+  }
+  EXPECT_EQ(result, OrderResult::kUnanswered);
+}
+
 /// Guards against orders that take effect after they were given up: bytes that
 /// a cut holds up would be delivered after it.
 TEST_F(KeyOrdersTest, GrantGivenUpDuringACutIsNotDeliveredAfterIt) {
