Do not take earlier input for the answer to an order or a call to the store

An idle connection closes on input, but a busy event loop sends the next request before it notices the input, and then read it as the answer: a refused grant counted as carried out, a refused write to the store as written.

A connection with unread input is not used for orders, nor by HttpClient.

--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -113,9 +113,8 @@
          max_idle_time(idle, repeatable, now);
 }
 
-BackendPool::Busy BackendPool::take_connection(const Endpoint& address,
-                                               bool repeatable) {
-  std::vector<Idle>& idle_connections = idle_[address];
+BackendPool::Busy BackendPool::take_connection(const Call& call) {
+  std::vector<Idle>& idle_connections = idle_[call.address];
   TimePoint now = steady_now();
   std::erase_if(idle_connections, [&](const Idle& idle) {
     bool alive = idle.connection->idle() && may_reuse(idle, true, now);
@@ -123,10 +122,13 @@
     return !alive;
   });
   // The most recently used connection is the most likely to be alive.
-  auto found = std::find_if(
-      idle_connections.rbegin(), idle_connections.rend(),
-      [&](const Idle& idle) { return may_reuse(idle, repeatable, now); });
-  if (found == idle_connections.rend()) return new_connection(address);
+  auto found = std::find_if(idle_connections.rbegin(), idle_connections.rend(),
+                            [&](const Idle& idle) {
+                              return may_reuse(idle, call.repeatable, now) &&
+                                     !(call.response_follows_arrival &&
+                                       idle.connection->has_unread_input());
+                            });
+  if (found == idle_connections.rend()) return new_connection(call.address);
   Idle idle = std::move(*found);
   idle_connections.erase(std::next(found).base());
   Duration idle_time = now - idle.connection->last_response_time();
@@ -135,9 +137,8 @@
 
 std::uint64_t BackendPool::start(Call call, Callback done) {
   std::uint64_t number = next_number_++;
-  Busy busy = call.on_new_connection
-                  ? new_connection(call.address)
-                  : take_connection(call.address, call.repeatable);
+  Busy busy = call.on_new_connection ? new_connection(call.address)
+                                     : take_connection(call);
   if (!busy.connection) return fail_for_room(std::move(done));
   busy.keeps_connection = std::move(call.keeps_connection);
   auto connection = busy.connection;
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -81,7 +81,7 @@
   /// A call that needs a connection more than there may be; nothing is sent.
   std::uint64_t fail_for_room(Callback done);
   Busy new_connection(const Endpoint& address);
-  Busy take_connection(const Endpoint& address, bool repeatable);
+  Busy take_connection(const Call& call);
   bool may_reuse(const Idle& idle, bool repeatable, TimePoint now) const;
   /// Longest idle time after which a connection is reused.
   Duration max_idle_time(const Idle& idle, bool repeatable,
--- a/src/io/http_client.cc
+++ b/src/io/http_client.cc
@@ -110,6 +110,10 @@
   }
 
   bool idle() const override { return phase_ == Phase::kIdle; }
+  bool has_unread_input() const override {
+    error_code failed;
+    return socket_.available(failed) > 0;
+  }
   bool closed() const override { return phase_ == Phase::kClosed; }
   std::uint64_t response_count() const override { return response_count_; }
   std::uint32_t skipped_response_count() const override {
@@ -464,8 +468,9 @@
   while (!idle.empty()) {
     std::shared_ptr<HttpConnection> connection = std::move(idle.back());
     idle.pop_back();
-    if (connection->idle() && now - connection->last_response_time() <
-                                  config::kMaxConnectionReuseAge) {
+    if (connection->idle() && !connection->has_unread_input() &&
+        now - connection->last_response_time() <
+            config::kMaxConnectionReuseAge) {
       return connection;
     }
     connection->close();
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -72,6 +72,9 @@
   virtual void close() = 0;
   /// Connected, without an exchange in progress, and not closed by the server.
   virtual bool idle() const = 0;
+  /// Whether input is waiting that has not been read. On an idle connection it
+  /// answers no request that is sent from now on.
+  virtual bool has_unread_input() const = 0;
   virtual bool closed() const = 0;
   /// Number of complete responses so far.
   virtual std::uint64_t response_count() const = 0;
--- a/tests/key_orders_test.cc
+++ b/tests/key_orders_test.cc
@@ -120,6 +120,10 @@
   /// Status line and header fields of answers to grants.
   std::string grant_header = "200 OK\r\n";
   std::size_t connections() const { return peers_.size(); }
+  void send_last_answer_again() {
+    Peer& peer = peers_.back();
+    boost::asio::write(peer.socket, boost::asio::buffer(peer.last_answer));
+  }
 
  private:
   struct Peer {
@@ -300,6 +304,16 @@
   }
 }
 
+/// Guards against taking input that came before a grant was sent for its
+/// answer: a busy event loop has not noticed it yet.
+TEST_F(KeyOrdersTest, CopyThatComesBeforeTheNextGrantIsNotItsAnswer) {
+  RepeatingServer server(io_);
+  ASSERT_EQ(grant(server.endpoint())->result, OrderResult::kDone);
+  server.send_last_answer_again();
+  server.grant_header = "409 Fenced\r\n";
+  EXPECT_EQ(grant(server.endpoint())->result, OrderResult::kFenced);
+}
+
 /// Guards against counting a hold from before its grant arrives: a late copy of
 /// the answer to an earlier grant comes while the grant waits for its path.
 TEST_F(KeyOrdersTest, AnswerBeforeTheGrantHasArrivedIsNoAnswer) {
