--- a/tests/fleet_ownership_test.cc
+++ b/tests/fleet_ownership_test.cc
@@ -306,6 +306,28 @@
   EXPECT_TRUE(world.violations.empty());
 }
 
+/// Guards against taking the answer to one map write for that to the next.
+TEST(FleetOwnership, AnswerToAnEarlierMapWriteDoesNotConfirmTheNext) {
+  FleetWorld world(3, 4, 26);
+  world.run_for(seconds(10));
+  auto coordinator = world.coordinator();
+  ASSERT_TRUE(coordinator);
+  MapState& map = world.state(*coordinator).maps[kBoard];
+  world.drain_server(1);
+  for (int i = 0; i < 100 && !map.pending_write; ++i)
+    world.run_for(config::kTickInterval);
+  ASSERT_TRUE(map.pending_write);
+  StorePosition position = map.position;
+  StorePosition next = {position.era, Version(position.revision.value + 1)};
+  world.post(*coordinator, MapWriteEnded{kBoard, map.write_number - 1,
+                                         WriteOutcome::kWritten, next});
+  EXPECT_TRUE(map.pending_write);
+  EXPECT_EQ(map.position, position);
+  world.run_for(seconds(4));
+  EXPECT_TRUE(world.all_held());
+  EXPECT_TRUE(world.violations.empty());
+}
+
 /// Guard: answers that were queued while the process was paused lead to no
 /// order before the store has confirmed the map.
 TEST(FleetOwnership, AnswersDelayedByAPauseLeadToNoOrders) {
