Detect a pause before the events that have queued up in it

After a pause, the event loop hands out posted and socket events before the timer of the tick, which alone looked for a pause. The answer to an order made a coordinator that may have been replaced send the next order, without asking the store. FleetShell looks at the time of the last tick at each event.

AnswerAfterAPauseLeadsToNoOrderBeforeTheMapIsRead failed before: 2 grants sent where 1 was expected.

--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -32,6 +32,8 @@
 constexpr std::uint32_t kMaxLogLinesPerKindPerSecond = 100;
 /// Interval of closing expired connections and logging dropped log lines.
 constexpr Duration kCleanupInterval = seconds(1);
+/// Time without a tick from which on the process counts as having paused.
+constexpr Duration kSuspensionThreshold = milliseconds(250);
 /// The process ends by itself this long before the platform kills it.
 constexpr Duration kStopMargin = milliseconds(150);
 
@@ -206,6 +208,8 @@
 
 void FleetShell::apply(const fleet::Event& event) {
   TimePoint began = boottime_now();
+  // What has queued up during a pause may be handled before the tick.
+  if (began - last_tick_ > kSuspensionThreshold) detect_suspension();
   fleet::Effects effects;
   guard("event", [&] { effects = fleet::reduce(state_, event, began); });
   for (const fleet::Effect& effect : effects)
@@ -586,8 +590,7 @@
   if (state_.stopping) advance_stop();
 }
 
-/// Notifies the core of a suspension of the machine or a pause of the process
-/// before it processes the events that have queued up meanwhile.
+/// Notifies the core of a suspension of the machine or a pause of the process.
 void FleetShell::detect_suspension() {
   TimePoint now = boottime_now();
   Duration gap = now - last_tick_;
@@ -596,7 +599,6 @@
   bool was_suspended =
       suspended - suspended_time_ > fleet::config::kTickInterval;
   suspended_time_ = suspended;
-  constexpr Duration kSuspensionThreshold = milliseconds(250);
   if (gap > kSuspensionThreshold || was_suspended) apply(fleet::Resumed{gap});
 }
 
--- a/tests/fleet_shell_test.cc
+++ b/tests/fleet_shell_test.cc
@@ -3,7 +3,10 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <map>
 #include <optional>
+#include <thread>
 
 #include "codec/fleet_json.h"
 #include "io/request_fingerprint.h"
@@ -46,6 +49,35 @@
   bool throw_in_classify = false;
 };
 
+constexpr char kKeyedConfiguration[] =
+    R"({"version":7,"limits":{"headerBytes":16384,"bodyBytes":1000000,)"
+    R"("headerTimeoutS":3,"idleTimeoutS":15},"listeners":[{"host":"h","rules":[)"
+    R"({"name":"r","kind":"safe","sloS":0.5,"priority":2,)"
+    R"("match":{"prefix":"/r/"},"action":{"service":"book","timeoutS":1,)"
+    R"("attempts":1}}]}],)"
+    R"("clusters":[{"name":"book","maxConns":100,"sharded":true}]})";
+
+/// Keeps grants until the test ends them, and confirms releases.
+class HeldGrants : public io::KeyOrders {
+ public:
+  void grant(const fleet::GrantKeys& order, Callback done) override {
+    ++sent;
+    held_[order.order] = std::move(done);
+  }
+  void release(const fleet::ReleaseKeys& order, Callback done) override {
+    done({order.order, fleet::OrderResult::kDone, "", "", {}});
+  }
+  bool empty() const { return held_.empty(); }
+  void confirm_all() {
+    for (auto& [order, done] : std::exchange(held_, {}))
+      done({order, fleet::OrderResult::kDone, "", "", {}});
+  }
+  std::size_t sent = 0;
+
+ private:
+  std::map<std::uint64_t, Callback> held_;
+};
+
 Endpoint free_endpoint() {
   boost::asio::io_context io;
   boost::asio::ip::tcp::acceptor acceptor(
@@ -70,8 +102,8 @@
 
   void start() {
     store_client_.emplace(io_, store_.endpoint());
-    shell_.emplace(io_, settings_, addresses_, *store_client_, orders_, format_,
-                   [] {});
+    shell_.emplace(io_, settings_, addresses_, *store_client_, *key_orders_,
+                   format_, [] {});
     ASSERT_TRUE(shell_->bind().empty());
     shell_->start();
   }
@@ -117,6 +149,7 @@
   StoreStandin store_;
   ServerStandin server_;
   KeyOrdersClient orders_{io_};
+  io::KeyOrders* key_orders_ = &orders_;
   FaultyFormat format_;
   fleet::Settings settings_;
   io::ListenAddresses addresses_;
@@ -193,6 +226,28 @@
   EXPECT_FALSE(second.ran.empty());
 }
 
+/// Guards against orders of a coordinator that may have been replaced during a
+/// pause: an answer that has queued up is handled before the tick.
+TEST_F(FleetShellTest, AnswerAfterAPauseLeadsToNoOrderBeforeTheMapIsRead) {
+  HeldGrants grants;
+  key_orders_ = &grants;
+  store_.put(kConfigKind, kActiveConfigName, kKeyedConfiguration);
+  start();
+  ASSERT_TRUE(run_until(io_, [&] { return !grants.empty(); }));
+  std::size_t sent = grants.sent;
+  bool confirmed = false;
+  boost::asio::post(io_, [&] {
+    grants.confirm_all();
+    confirmed = true;
+  });
+  // Longer than the interval of renewals, so that one is due.
+  std::this_thread::sleep_for(fleet::config::kLowTrafficRenewalInterval +
+                              milliseconds(200));
+  ASSERT_TRUE(run_until(io_, [&] { return confirmed; }));
+  EXPECT_EQ(grants.sent, sent);
+  EXPECT_TRUE(run_until(io_, [&] { return grants.sent > sent; }));
+}
+
 TEST(RequestFingerprint, IsThatOfCallerPathAndBody) {
   using io::request_fingerprint;
   io::HttpRequest request{
