--- a/src/io/backend_pool.cc
+++ b/src/io/backend_pool.cc
@@ -113,9 +113,8 @@
          max_idle_time(idle, repeatable, now);
 }
 
-BackendPool::Busy BackendPool::take_connection(const Endpoint& address,
-                                               bool repeatable) {
-  std::vector<Idle>& idle_connections = idle_[address];
+BackendPool::Busy BackendPool::take_connection(const Call& call) {
+  std::vector<Idle>& idle_connections = idle_[call.address];
   TimePoint now = steady_now();
   std::erase_if(idle_connections, [&](const Idle& idle) {
     bool alive = idle.connection->idle() && may_reuse(idle, true, now);
@@ -123,10 +122,13 @@
     return !alive;
   });
   // The most recently used connection is the most likely to be alive.
-  auto found = std::find_if(
-      idle_connections.rbegin(), idle_connections.rend(),
-      [&](const Idle& idle) { return may_reuse(idle, repeatable, now); });
-  if (found == idle_connections.rend()) return new_connection(address);
+  auto found = std::find_if(idle_connections.rbegin(), idle_connections.rend(),
+                            [&](const Idle& idle) {
+                              return may_reuse(idle, call.repeatable, now) &&
+                                     !(call.response_follows_arrival &&
+                                       idle.connection->has_unread_input());
+                            });
+  if (found == idle_connections.rend()) return new_connection(call.address);
   Idle idle = std::move(*found);
   idle_connections.erase(std::next(found).base());
   Duration idle_time = now - idle.connection->last_response_time();
@@ -135,15 +137,16 @@
 
 std::uint64_t BackendPool::start(Call call, Callback done) {
   std::uint64_t number = next_number_++;
-  Busy busy = call.on_new_connection
-                  ? new_connection(call.address)
-                  : take_connection(call.address, call.repeatable);
+  Busy busy = call.on_new_connection ? new_connection(call.address)
+                                     : take_connection(call);
   if (!busy.connection) return fail_for_room(std::move(done));
-  busy.last_exchange = call.last_on_connection;
-  busy_[number] = busy;
-  busy.connection->exchange_checked(
+  busy.keeps_connection = std::move(call.keeps_connection);
+  auto connection = busy.connection;
+  busy_[number] = std::move(busy);
+  connection->exchange_checked(
       call.request, call.timeout,
-      {std::move(call.matches_request), std::move(call.may_send)},
+      {std::move(call.matches_request), std::move(call.may_send),
+       call.response_follows_arrival},
       [this, number, address = call.address,
        done = std::move(done)](HttpResult result) {
         ConnectionUse use = finish(number, address, result);
@@ -181,8 +184,9 @@
     // The other idle connections may be stalled as well.
     for (const Idle& idle : idle_connections) idle.connection->close();
     idle_connections.clear();
-  } else if (connection->idle() && !busy.last_exchange &&
-             idle_connections.size() < kMaxIdlePerServer) {
+  } else if (connection->idle() &&
+             idle_connections.size() < kMaxIdlePerServer &&
+             (!busy.keeps_connection || busy.keeps_connection(*response))) {
     idle_connections.push_back(
         {std::move(connection), keep_alive_of(*response),
          busy.carried_failure || response->status >= kLowestFailureStatus});
--- a/src/io/backend_pool.h
+++ b/src/io/backend_pool.h
@@ -24,10 +24,11 @@
     bool repeatable = false;
     HttpResponseCheck matches_request;
     bool on_new_connection = false;
-    /// The connection is closed after this exchange.
-    bool last_on_connection = false;
+    /// Whether the connection may be reused after the response; empty: it may.
+    HttpResponseCheck keeps_connection;
     /// As in HttpExchangeChecks.
     std::function<bool()> may_send;
+    bool response_follows_arrival = false;
   };
 
   /// What is known of the connection that a call used.
@@ -71,8 +72,8 @@
     std::shared_ptr<HttpConnection> connection;
     bool reused = false;
     Duration idle_time{0};  ///< Before this call; 0 for a new connection.
-    bool carried_failure = false;  ///< In an earlier call.
-    bool last_exchange = false;    ///< The connection is closed after it.
+    bool carried_failure = false;        ///< In an earlier call.
+    HttpResponseCheck keeps_connection;  ///< As in Call.
   };
   std::size_t idle_count() const;
   /// Closes idle connections until another one is allowed.
@@ -80,7 +81,7 @@
   /// A call that needs a connection more than there may be; nothing is sent.
   std::uint64_t fail_for_room(Callback done);
   Busy new_connection(const Endpoint& address);
-  Busy take_connection(const Endpoint& address, bool repeatable);
+  Busy take_connection(const Call& call);
   bool may_reuse(const Idle& idle, bool repeatable, TimePoint now) const;
   /// Longest idle time after which a connection is reused.
   Duration max_idle_time(const Idle& idle, bool repeatable,
--- a/src/io/http_client.h
+++ b/src/io/http_client.h
@@ -49,6 +49,9 @@
   /// Asked once a new connection has been made; if false, nothing is sent and
   /// the exchange fails as kConnectTimeout. It may close the connection.
   std::function<bool()> may_send;
+  /// For requests that no response names: one that comes before the server's
+  /// host has acknowledged the whole request fails the exchange as kTruncated.
+  bool response_follows_arrival = false;
 };
 
 /// One HTTP/1.1 connection with at most one exchange at a time. Not thread
@@ -69,6 +72,9 @@
   virtual void close() = 0;
   /// Connected, without an exchange in progress, and not closed by the server.
   virtual bool idle() const = 0;
+  /// Whether input is waiting that has not been read. On an idle connection it
+  /// answers no request that is sent from now on.
+  virtual bool has_unread_input() const = 0;
   virtual bool closed() const = 0;
   /// Number of complete responses so far.
   virtual std::uint64_t response_count() const = 0;
--- a/tests/fleet_ownership_test.cc
+++ b/tests/fleet_ownership_test.cc
@@ -261,6 +261,23 @@
   }
 }
 
+/// Guards against taking a refusal for proof that a grant was not carried out:
+/// it may be the late answer to an earlier grant.
+TEST(FleetOwnership, GrantAnsweredWithARefusalIsWaitedFor) {
+  for (OrderResult result : {OrderResult::kFenced, OrderResult::kInvalid,
+                             OrderResult::kOtherServer}) {
+    FleetWorld world(3, 4, 25);
+    world.servers()[1].grant_result = result;
+    world.run_for(kSettlingTime);
+    world.servers()[1].reachable = false;
+    world.drain_server(1);
+    world.run_for(seconds(12));
+    EXPECT_TRUE(world.all_held()) << order_result_name(result);
+    EXPECT_TRUE(world.violations.empty())
+        << order_result_name(result) << ": " << world.violations[0];
+  }
+}
+
 /// Guard: a restarted server holds no keys and is granted them at a higher
 /// epoch.
 TEST(FleetOwnership, RestartedServerIsGrantedItsKeysAgain) {
@@ -289,6 +306,28 @@
   EXPECT_TRUE(world.violations.empty());
 }
 
+/// Guards against taking the answer to one map write for that to the next.
+TEST(FleetOwnership, AnswerToAnEarlierMapWriteDoesNotConfirmTheNext) {
+  FleetWorld world(3, 4, 26);
+  world.run_for(seconds(10));
+  auto coordinator = world.coordinator();
+  ASSERT_TRUE(coordinator);
+  MapState& map = world.state(*coordinator).maps[kBoard];
+  world.drain_server(1);
+  for (int i = 0; i < 100 && !map.pending_write; ++i)
+    world.run_for(config::kTickInterval);
+  ASSERT_TRUE(map.pending_write);
+  StorePosition position = map.position;
+  StorePosition next = {position.era, Version(position.revision.value + 1)};
+  world.post(*coordinator, MapWriteEnded{kBoard, map.write_number - 1,
+                                         WriteOutcome::kWritten, next});
+  EXPECT_TRUE(map.pending_write);
+  EXPECT_EQ(map.position, position);
+  world.run_for(seconds(4));
+  EXPECT_TRUE(world.all_held());
+  EXPECT_TRUE(world.violations.empty());
+}
+
 /// Guard: answers that were queued while the process was paused lead to no
 /// order before the store has confirmed the map.
 TEST(FleetOwnership, AnswersDelayedByAPauseLeadToNoOrders) {
--- a/tests/key_orders_test.cc
+++ b/tests/key_orders_test.cc
@@ -117,7 +117,13 @@
                     std::to_string(acceptor_.local_endpoint().port()));
   }
   bool repeats_last_answer = false;
+  /// Status line and header fields of answers to grants.
+  std::string grant_header = "200 OK\r\n";
   std::size_t connections() const { return peers_.size(); }
+  void send_last_answer_again() {
+    Peer& peer = peers_.back();
+    boost::asio::write(peer.socket, boost::asio::buffer(peer.last_answer));
+  }
 
  private:
   struct Peer {
@@ -142,11 +148,11 @@
           if (failed) return;
           std::string_view request(peer.buffer.data(), count);
           std::string text = repeats_last_answer ? peer.last_answer : "";
-          peer.last_answer = request.starts_with("POST /release")
-                                 ? "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-                                   "X-Eelgrasspin-Handover: warm\r\n\r\n{}"
-                                 : "HTTP/1.1 200 OK\r\n"
-                                   "Content-Length: 2\r\n\r\n{}";
+          peer.last_answer =
+              request.starts_with("POST /release")
+                  ? "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                    "X-Eelgrasspin-Handover: warm\r\n\r\n{}"
+                  : "HTTP/1.1 " + grant_header + "Content-Length: 2\r\n\r\n{}";
           text += peer.last_answer;
           boost::asio::write(peer.socket, boost::asio::buffer(text));
           receive(peer);
@@ -157,6 +163,45 @@
   std::list<Peer> peers_;
 };
 
+/// A server that reads nothing, so that orders stay in their sender's kernel
+/// once its receive buffer is full. It answers when it is told to.
+class UnreadingServer {
+ public:
+  explicit UnreadingServer(boost::asio::io_context& io) : acceptor_(io) {
+    acceptor_.open(tcp::v4());
+    acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(1));
+    acceptor_.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    acceptor_.listen();
+    accept();
+  }
+  Endpoint endpoint() const {
+    return Endpoint("127.0.0.1:" +
+                    std::to_string(acceptor_.local_endpoint().port()));
+  }
+  std::size_t connections() const { return peers_.size(); }
+  /// Bytes that have arrived on the latest connection.
+  std::size_t received() const {
+    return peers_.empty() ? 0 : peers_.back().available();
+  }
+  void answer() {
+    std::string_view text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    boost::asio::write(peers_.back(),
+                       boost::asio::buffer(text.data(), text.size()));
+  }
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](error_code failed, tcp::socket socket) {
+      if (failed) return;
+      peers_.push_back(std::move(socket));
+      accept();
+    });
+  }
+
+  tcp::acceptor acceptor_;
+  std::list<tcp::socket> peers_;
+};
+
 class KeyOrdersTest : public ::testing::Test {
  protected:
   KeyOrdersTest()
@@ -232,6 +277,66 @@
   EXPECT_EQ(server.connections(), 2u);
 }
 
+/// Guards against taking a late copy of the refusal of a grant for the answer
+/// to the next one, which the server carries out.
+TEST_F(KeyOrdersTest, CopyOfARefusalDoesNotRefuseTheNextGrant) {
+  for (const char* refusal : {"400 Bad\r\n", "409 Fenced\r\n", "421 Other\r\n",
+                              "429 Busy\r\n", "500 Failed\r\n"}) {
+    RepeatingServer server(io_);
+    server.grant_header = refusal;
+    EXPECT_NE(grant(server.endpoint())->result, OrderResult::kDone);
+    server.repeats_last_answer = true;
+    server.grant_header = "200 OK\r\n";
+    EXPECT_EQ(grant(server.endpoint())->result, OrderResult::kDone) << refusal;
+  }
+}
+
+/// Guards against taking a late copy of the refusal of a grant for proof that
+/// the server has ended: it holds the keys until it answers the release.
+TEST_F(KeyOrdersTest, CopyOfAGrantsRefusalDoesNotEndARelease) {
+  for (const char* refusal :
+       {"421 Other\r\n", "400 Bad\r\nX-Eelgrasspin-Not-Run: 1\r\n"}) {
+    RepeatingServer server(io_);
+    server.grant_header = refusal;
+    EXPECT_NE(grant(server.endpoint())->result, OrderResult::kDone);
+    server.repeats_last_answer = true;
+    EXPECT_EQ(release(server.endpoint()).result, OrderResult::kDone) << refusal;
+  }
+}
+
+/// Guards against taking input that came before a grant was sent for its
+/// answer: a busy event loop has not noticed it yet.
+TEST_F(KeyOrdersTest, CopyThatComesBeforeTheNextGrantIsNotItsAnswer) {
+  RepeatingServer server(io_);
+  ASSERT_EQ(grant(server.endpoint())->result, OrderResult::kDone);
+  server.send_last_answer_again();
+  server.grant_header = "409 Fenced\r\n";
+  EXPECT_EQ(grant(server.endpoint())->result, OrderResult::kFenced);
+}
+
+/// Guards against counting a hold from before its grant arrives: a late copy of
+/// the answer to an earlier grant comes while the grant waits for its path.
+TEST_F(KeyOrdersTest, AnswerBeforeTheGrantHasArrivedIsNoAnswer) {
+  UnreadingServer server(io_);
+  std::size_t order_bytes = 0;
+  OrderResult result = OrderResult::kDone;
+  for (std::size_t i = 0; i < 200 && result == OrderResult::kDone; ++i) {
+    std::optional<fleet::OrderEnded> ended;
+    orders_.grant({1, ServerName("i-1"), server.endpoint(), kFirst, kLast,
+                   Epoch(1), seconds(4), ""},
+                  [&](const fleet::OrderEnded& end) { ended = end; });
+    run_for(io_, std::chrono::milliseconds(20));
+    ASSERT_EQ(server.connections(), 1u);
+    if (i == 0) order_bytes = server.received();
+    bool arrived = server.received() == (i + 1) * order_bytes;
+    server.answer();
+    ASSERT_TRUE(run_until(io_, [&] { return ended.has_value(); }));
+    result = ended->result;
+    ASSERT_EQ(result == OrderResult::kDone, arrived) << "grant " << i;
+  }
+  EXPECT_EQ(result, OrderResult::kUnanswered);
+}
+
 /// Guards against orders that take effect after they were given up: bytes that
 /// a cut holds up would be delivered after it.
 TEST_F(KeyOrdersTest, GrantGivenUpDuringACutIsNotDeliveredAfterIt) {
