End predecessors only by later processes

Cause: end_predecessor() and hear_lost_coordinator() took any other process of the daemon for a sign that the one waited for has ended. The daemon that is waited for is silent, so that accept_heartbeat() takes a late heartbeat of its earlier process; the wait for its renewals shrinks from 15 s to none. hear_lost_coordinator() also believed that process about the terms of the later one.

Evidence: replaced_coordinator_test and store_restored_ownership_test, LateHeartbeatOfAnEarlierProcessEndsNothing, fail before: two holders.

Now only a higher incarnation ends one, as in has_ended(). A daemon whose clock was set back is waited for until it names the new term, or for 15 s.

--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -374,7 +374,8 @@
                               return daemon.name == heartbeat.daemon.name;
                             });
   if (found == role.predecessors.end()) return;
-  bool ended = heartbeat.daemon.incarnation != found->incarnation;
+  // A heartbeat of an earlier process may come late.
+  bool ended = heartbeat.daemon.incarnation > found->incarnation;
   if (!ended && known_term < map.map->term) return;
   role.predecessors.erase(found);
   if (!role.predecessors.empty()) return;
@@ -398,9 +399,10 @@
                      return daemon.name == heartbeat.daemon.name;
                    });
   if (found == role.lost_coordinators.end()) return;
-  bool ended = heartbeat.daemon.incarnation != found->incarnation;
+  bool ended = heartbeat.daemon.incarnation > found->incarnation;
   bool has_not_coordinated =
-      !ended && term.coordinated && *term.coordinated < role.term_before_loss;
+      heartbeat.daemon.incarnation == found->incarnation && term.coordinated &&
+      *term.coordinated < role.term_before_loss;
   bool knows_this_term = !is_lost(state, map) && term.term >= map.map->term;
   if (!has_not_coordinated && !ended && !knows_this_term) return;
   if (!has_not_coordinated) role.grants_may_be_lost = true;
--- /dev/null
+++ b/tests/replaced_coordinator_test.cc
@@ -0,0 +1,84 @@
+#include <gtest/gtest.h>
+
+#include "fleet/leases.h"
+#include "tests/fleet_world.h"
+
+/// Ownership of keys while a coordinator that has been replaced goes on
+/// renewing grants: it reaches servers, but neither the store nor its
+/// successor.
+namespace eelgrasspin::fleet {
+namespace {
+
+/// The server that only the replaced coordinator reaches.
+constexpr std::size_t kUnreached = 1;
+/// Longer than any grant, from any coordinator, may last.
+constexpr Duration kRecoveryTime = seconds(40);
+
+struct ReplacedCoordinator {
+  explicit ReplacedCoordinator(Duration settling = seconds(10))
+      : world(5, 4, 31) {
+    world.run_for(settling);
+    first = world.coordinator().value();
+    companion = (first + 1) % world.daemons();
+  }
+
+  bool is_cut_off(std::size_t daemon) const {
+    return daemon == first || daemon == companion;
+  }
+  /// Cuts the coordinator off from the store and from all daemons but one,
+  /// which it goes on hearing.
+  void cut_off() {
+    for (std::size_t cut : {first, companion}) {
+      world.cut_from_store.insert(cut);
+      for (std::size_t i = 0; i < world.daemons(); ++i) {
+        if (!is_cut_off(i)) world.cut_links.insert({cut, i});
+      }
+    }
+  }
+  void cut_others_from_server() {
+    for (std::size_t i = 0; i < world.daemons(); ++i) {
+      if (!is_cut_off(i)) world.cut_from_servers.insert({i, kUnreached});
+    }
+  }
+  std::optional<std::size_t> successor() {
+    for (std::size_t i = 0; i < world.daemons(); ++i) {
+      if (!is_cut_off(i) && world.state(i).maps[kBoard].coordinator_role)
+        return i;
+    }
+    return std::nullopt;
+  }
+  void run_until_replaced() {
+    for (int i = 0; i < 500 && !successor(); ++i)
+      world.run_for(milliseconds(20));
+  }
+  MapState& map_of_first() { return world.state(first).maps[kBoard]; }
+  std::string first_violation() const {
+    return world.violations.empty() ? "" : world.violations.front();
+  }
+
+  FleetWorld world;
+  std::size_t first = 0;
+  std::size_t companion = 0;
+};
+
+// Guards against a successor that takes a late heartbeat of the coordinator's
+// earlier process for its end.
+TEST(ReplacedCoordinatorTest, LateHeartbeatOfAnEarlierProcessEndsNothing) {
+  ReplacedCoordinator play;
+  play.cut_off();
+  play.cut_others_from_server();
+  play.run_until_replaced();
+  ASSERT_TRUE(play.successor());
+  play.world.run_for(seconds(1));
+  Heartbeat late;
+  late.daemon = play.world.state(play.first).settings.self;
+  late.daemon.incarnation = Incarnation(late.daemon.incarnation.value - 1);
+  late.terms.push_back({kBoard, TermEpoch(), Duration(0), StorePosition()});
+  play.world.post(*play.successor(), HeartbeatReceived{late});
+  play.world.drain_server(kUnreached);
+  play.world.run_for(kRecoveryTime);
+  EXPECT_EQ(play.first_violation(), "");
+}
+
+}  // namespace
+}  // namespace eelgrasspin::fleet
--- a/tests/store_restored_ownership_test.cc
+++ b/tests/store_restored_ownership_test.cc
@@ -171,7 +171,7 @@
 
 /// A daemon that has not heard the coordinator for a while takes over after a
 /// restoration. Another one has heard it until then.
-void take_over_from_unheard(Duration unheard) {
+void take_over_from_unheard(Duration unheard, bool late_heartbeat = false) {
   FleetWorld world(3, 4, 5);
   world.store_era = StoreEra(1);
   world.check_epochs = true;
@@ -198,6 +198,15 @@
   world.restore_copy();
   world.restore_store();
   world.start(third);
+  if (late_heartbeat) {
+    world.run_for(seconds(2));
+    Heartbeat late;
+    late.daemon = world.state(coordinator).settings.self;
+    late.daemon.incarnation = Incarnation(late.daemon.incarnation.value - 1);
+    late.terms.push_back({kBoard, TermEpoch(), Duration(0), StorePosition()});
+    world.post(unaware, HeartbeatReceived{late});
+    world.post(third, HeartbeatReceived{late});
+  }
   world.run_for(kRecoveryTime);
   EXPECT_TRUE(world.violations.empty())
       << world.violations.size() << ", " << world.violations.front();
@@ -215,5 +224,13 @@
   take_over_from_unheard(config::kDaemonRetention + seconds(2));
 }
 
+// Guards against a late heartbeat of its earlier process that is taken for its
+// end.
+TEST(StoreRestoredOwnership, LateHeartbeatOfAnEarlierProcessEndsNothing) {
+  take_over_from_unheard(
+      config::kMaxRenewalWithoutStore + longest_hold(Settings()) + seconds(2),
+      true);
+}
+
 }  // namespace
 }  // namespace eelgrasspin::fleet
