Wait for orders that a coordinator gave before its role ended

Cause: an order that waits for its connection goes out up to 400 ms after its coordinator has learned of its successor, as nothing cancels it. Successors counted the longest hold, with its 600 ms for an order that has been given up, from the moment at which they heard that the coordinator had stopped.

Evidence: replaced_coordinator_test, OrdersOnTheirWayAtTheEndOfItsRoleAreWaitedFor, fails before: two holders where the last order arrives 0.98 s after it was given (1 of 19 offsets).

The wait now starts 400 ms (kGrantTimeout) later where the end of a role is what is known. A process that has ended has ended its orders; nothing changes there. Price: 0.4 s more for keys of a server that does not answer the successor of a coordinator that still runs.

--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -482,6 +482,10 @@
       settings, std::min(config::kLowTrafficGrantHold, settings.hold_max));
 }
 
+Duration longest_hold_of_ended_role(const Settings& settings) {
+  return config::kGrantTimeout + longest_hold(settings);
+}
+
 void record_possible_grant(CoordinatorRole& coordinator_role,
                            const PossibleGrant& possible, TimePoint now) {
   auto& grants = coordinator_role.possible_grants[possible.owner.name];
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -41,17 +41,19 @@
 TimePoint earlier_grants_end(const State& state,
                              const std::vector<DaemonIncarnation>& predecessors,
                              TimePoint now) {
-  Duration renewing =
-      predecessors.empty() ? Duration(0) : config::kMaxRenewalWithoutStore;
-  return now + renewing + longest_hold(state.settings);
+  // The end of a process has ended its orders.
+  if (predecessors.empty()) return now + longest_hold(state.settings);
+  return now + config::kMaxRenewalWithoutStore +
+         longest_hold_of_ended_role(state.settings);
 }
 
 /// No known daemon that may have made lost grants renews them any more.
 void bound_lost_grants(const State& state, CoordinatorRole& role,
                        TimePoint now) {
   if (role.unknown_coordinators) return;
-  Duration rest =
-      role.grants_may_be_lost ? longest_hold(state.settings) : Duration(0);
+  Duration rest = role.grants_may_be_lost
+                      ? longest_hold_of_ended_role(state.settings)
+                      : Duration(0);
   role.lost_grants_until = std::min(*role.lost_grants_until, now + rest);
 }
 
@@ -61,8 +63,8 @@
 void expect_lost_grants(const State& state, CoordinatorRole& role,
                         TermEpoch term, bool lost_before, TimePoint now) {
   role.grants_may_be_lost = lost_before || !remembers_lost_grants(state);
-  role.lost_grants_until =
-      now + config::kMaxRenewalWithoutStore + longest_hold(state.settings);
+  role.lost_grants_until = now + config::kMaxRenewalWithoutStore +
+                           longest_hold_of_ended_role(state.settings);
   role.term_before_loss = term;
   role.recall.reset();
   role.lost_coordinators.clear();
@@ -363,8 +365,7 @@
 namespace {
 
 /// A coordinator of an earlier term that knows of this one, or has ended, sends
-/// no more orders. Once all have, those already sent expire within the longest
-/// hold.
+/// no more orders. Once all have, those of before expire.
 void end_predecessor(const State& state, MapState& map,
                      const Heartbeat& heartbeat, TermEpoch known_term,
                      TimePoint now) {
@@ -379,7 +380,7 @@
   if (!ended && known_term < map.map->term) return;
   role.predecessors.erase(found);
   if (!role.predecessors.empty()) return;
-  TimePoint end = now + longest_hold(state.settings);
+  TimePoint end = now + longest_hold_of_ended_role(state.settings);
   for (auto& [server, grants] : role.possible_grants) {
     for (PossibleGrant& grant : grants)
       grant.until = std::min(grant.until, end);
--- a/src/fleet/ownership.h
+++ b/src/fleet/ownership.h
@@ -41,6 +41,9 @@
 /// Longest time for which a server can hold keys by a grant that any
 /// coordinator sends now.
 Duration longest_hold(const Settings& settings);
+/// The same, counted from when a coordinator stops: its last order may still
+/// wait for a connection.
+Duration longest_hold_of_ended_role(const Settings& settings);
 
 }  // namespace eelgrasspin::fleet
 
--- a/src/fleet/replan.cc
+++ b/src/fleet/replan.cc
@@ -206,8 +206,11 @@
 /// Drops the coordinators of earlier terms that have stopped sending orders.
 bool drop_ended_predecessors(MapState& map, OwnerMap& next, TimePoint now) {
   CoordinatorRole& role = *map.coordinator_role;
-  if (now - role.started_at >= config::kMaxRenewalWithoutStore)
+  // The last order of one may still wait for a connection.
+  if (now - role.started_at >=
+      config::kMaxRenewalWithoutStore + config::kGrantTimeout) {
     role.predecessors.clear();
+  }
   if (next.replaced_coordinators == role.predecessors) return false;
   next.replaced_coordinators = role.predecessors;
   return true;
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -49,7 +49,8 @@
   double write_unanswered = 0;  ///< Share of writes done but not answered.
   double write_late = 0;  ///< Share of writes done seconds later, if then.
   double heartbeat_lost = 0;
-  Duration heartbeat_delay{0};  ///< Longest; heartbeats may overtake others.
+  Duration heartbeat_delay{0};   ///< Longest; heartbeats may overtake others.
+  Duration map_answer_delay{0};  ///< Of the store's answers to reads of maps.
 };
 
 class FleetWorld {
@@ -115,6 +116,9 @@
   std::set<std::size_t> cut_from_store;
   /// Pairs of a daemon and a server that it cannot reach.
   std::set<std::pair<std::size_t, std::size_t>> cut_from_servers;
+  /// Time until a grant of the daemon arrives at the server. It is given up
+  /// after its timeout.
+  std::map<std::pair<std::size_t, std::size_t>, Duration> order_delays;
   /// Adds a line to `violations` for a key that arrives at a server with an
   /// epoch that is not above all with which other servers had it.
   bool check_epochs = false;
@@ -564,13 +568,20 @@
             const ServiceName& service) {
     if (!reaches_store(daemon))
       return post(daemon, incarnation, StoreFailed{"down"});
-    answer_from_store(daemon, incarnation);
-    post(daemon, incarnation, StoreAnswered());
-    if (map_) {
-      post(daemon, incarnation, MapSeen{*map_, revision_, era()});
-    } else {
-      post(daemon, incarnation, MapMissing{service, era()});
+    if (!map_) {
+      answer_from_store(daemon, incarnation);
+      post(daemon, incarnation, StoreAnswered());
+      return post(daemon, incarnation, MapMissing{service, era()});
     }
+    MapSeen seen{*map_, revision_, era()};
+    auto answer = [this, daemon, incarnation, seen] {
+      answer_from_store(daemon, incarnation);
+      post(daemon, incarnation, StoreAnswered());
+      post(daemon, incarnation, seen);
+    };
+    if (faults.map_answer_delay.count() > 0)
+      return after(faults.map_answer_delay, answer);
+    answer();
   }
 
   void read_registry(std::size_t daemon, std::uint64_t incarnation,
@@ -694,6 +705,14 @@
     std::size_t index = static_cast<std::size_t>(server - servers_.data());
     Incarnation target = server->entry.incarnation;
     bool late = draw(faults.grant_unanswered);
+    auto delayed = order_delays.find({daemon, index});
+    if (delayed != order_delays.end()) {
+      after(config::kGrantTimeout, unanswered);
+      return after(delayed->second, [this, index, order] {
+        FakeServer& there = servers_[index];
+        if (there.up && !fenced(there, order)) carry_out(there, order, now_);
+      });
+    }
     after(milliseconds(2), [this, daemon, incarnation, order, index, target,
                             late, unanswered] {
       FakeServer& there = servers_[index];
--- a/tests/replaced_coordinator_test.cc
+++ b/tests/replaced_coordinator_test.cc
@@ -80,5 +80,26 @@
   EXPECT_EQ(play.first_violation(), "");
 }
 
+// Guards against forgetting an order that waits for its connection while the
+// coordinator learns of its successor.
+TEST(ReplacedCoordinatorTest, OrdersOnTheirWayAtTheEndOfItsRoleAreWaitedFor) {
+  for (Duration offset{0}; offset < seconds(4); offset += milliseconds(220)) {
+    ReplacedCoordinator play;
+    play.cut_off();
+    play.cut_others_from_server();
+    // The latest arrival of an order that has been given up.
+    play.world.order_delays[{play.first, kUnreached}] =
+        config::kGrantTimeout + Settings().max_delivery_delay +
+        config::kOrderArrivalSlack - milliseconds(20);
+    play.run_until_replaced();
+    ASSERT_TRUE(play.successor());
+    play.world.drain_server(kUnreached);
+    play.world.run_for(seconds(2) + offset);
+    play.world.cut_links.clear();
+    play.world.run_for(kRecoveryTime);
+    EXPECT_EQ(play.first_violation(), "") << offset.count();
+  }
+}
+
 }  // namespace
 }  // namespace eelgrasspin::fleet
