Verify a map only by reads sent after the doubt

Cause: after a pause, or once it has heard of a higher term, a coordinator sends no order before the store has confirmed its map. Any answer with the map cleared that, also one to a read sent before the pause, which had waited in the socket.

Evidence: replaced_coordinator_test, AnswerFromBeforeAPauseDoesNotConfirmTheMap, fails before: two holders.

A read now bears the time at which it was sent, and its answer that time; only a read sent after the doubt arose ends it. confirmed_at, too, is the time of the sending, of a read or of a write.

--- a/src/fleet/effect.h
+++ b/src/fleet/effect.h
@@ -82,6 +82,7 @@
 /// Reads the map from the store. MapSeen or MapMissing follows if it answers.
 struct ReadMap {
   ServiceName service;
+  TimePoint sent_at;  ///< The answer shows the map as it was then or later.
 };
 /// Reads the record of requests in quarantine. Exactly one QuarantineRecordRead
 /// follows.
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -50,8 +50,9 @@
 };
 struct MapSeen {
   OwnerMap map;
-  Version revision;  ///< Of its record.
-  StoreEra read_in;  ///< Era of the store that was read.
+  Version revision;   ///< Of its record.
+  StoreEra read_in;   ///< Era of the store that was read.
+  TimePoint sent_at;  ///< As in ReadMap; 0 if it was not asked for.
 };
 struct MapMissing {
   ServiceName service;
--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -662,7 +662,7 @@
     // taken over.
     lease->confirmed = false;
     lease->fenced = true;
-    effects.emplace_back(ReadMap{order.service});
+    effects.emplace_back(ReadMap{order.service, now});
   } else if (order.release && ended.result == OrderResult::kOtherServer) {
     lease->released[order.server] = ReleaseProof::kAddressReused;
   }
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -147,7 +147,6 @@
   map.known_before_restoration = false;
   map.absent_since.reset();
   map.behind_since.reset();
-  map.confirmed_at = now;
   map.highest_term = std::max(map.highest_term, next.term);
   if (new_term) map.coordinator_heartbeat_at = now;
   log_event(effects, "map_adopted",
@@ -168,19 +167,20 @@
   retry_waiting(state, now, effects);
 }
 
-void send_write(MapState& map, Effects& effects) {
+void send_write(MapState& map, TimePoint now, Effects& effects) {
   map.resend_write = false;
+  map.write_sent_at = now;
   effects.emplace_back(
       WriteMap{*map.pending_write, map.stored.revision, map.write_number});
 }
 
 void start_write(const State& state, MapState& map, OwnerMap next,
-                 Effects& effects) {
+                 TimePoint now, Effects& effects) {
   next.era = current_era(state);
   map.pending_write = std::move(next);
   ++map.write_number;
   map.write_may_be_done = false;
-  send_write(map, effects);
+  send_write(map, now, effects);
 }
 
 /// Whether this daemon has read what a restored store holds of the map, which
@@ -216,16 +216,22 @@
   return now - confirmed < config::kMaxRenewalWithoutStore;
 }
 
+/// Another daemon may have replaced this one as the coordinator.
+void doubt_map(MapState& map, TimePoint now) {
+  map.must_verify = true;
+  map.doubted_at = now;
+}
+
 void run_coordinator_role(State& state, const ServiceName& service,
                           MapState& map, TimePoint now, Effects& effects) {
   if (map.must_verify) return;
   if (now - map.confirmed_at >= config::kMapCheckInterval &&
       now >= map.next_read) {
     map.next_read = now + config::kMapCheckInterval;
-    effects.emplace_back(ReadMap{service});
+    effects.emplace_back(ReadMap{service, now});
   }
   if (!may_send_orders(state, map, now)) {
-    map.must_verify = true;
+    doubt_map(map, now);
     return end_coordinator_role(map, "store_silent", effects);
   }
   allow_orders_of_tick(state, *map.coordinator_role);
@@ -236,24 +242,25 @@
   }
   // A write of an earlier era that was carried out late may have replaced it.
   if (is_lost(state, map) || map.stored != map.position) {
-    return start_write(state, map, map_after_loss(state, map, now), effects);
+    return start_write(state, map, map_after_loss(state, map, now), now,
+                       effects);
   }
   auto next = replan(state, service, map, now, effects);
-  if (next) start_write(state, map, std::move(*next), effects);
+  if (next) start_write(state, map, std::move(*next), now, effects);
 }
 
 void tick_service(State& state, const ServiceName& service, TimePoint now,
                   Effects& effects) {
   MapState& map = state.maps[service];
   if (map.pending_write && map.resend_write && now >= map.next_write)
-    send_write(map, effects);
+    send_write(map, now, effects);
   bool behind = map.behind_since &&
                 now - *map.behind_since >= config::kOutdatedMapReadDelay;
   bool unknown = (!map.map && !map.absent_since) || map.must_verify || behind ||
                  !knows_stored(state, map);
   if (unknown && now >= map.next_read) {
     map.next_read = now + kMapReadInterval;
-    effects.emplace_back(ReadMap{service});
+    effects.emplace_back(ReadMap{service, now});
   }
   if (map.coordinator_role)
     run_coordinator_role(state, service, map, now, effects);
@@ -266,10 +273,11 @@
                {"term", text(map.map->term.next().value)},
                {"before", map.map->coordinator.str()},
                {"silent", text(now - map.coordinator_heartbeat_at)}});
-    return start_write(state, map, take_over_map(state, map, now), effects);
+    return start_write(state, map, take_over_map(state, map, now), now,
+                       effects);
   }
   auto first = first_map(state, service, now);
-  if (first) start_write(state, map, std::move(*first), effects);
+  if (first) start_write(state, map, std::move(*first), now, effects);
 }
 
 }  // namespace
@@ -280,8 +288,10 @@
   MapState& map = state.maps[seen.map.service];
   StorePosition position{seen.map.era, seen.revision};
   map.stored = std::max(map.stored, {seen.read_in, seen.revision});
-  bool verified = std::exchange(map.must_verify, false);
-  map.confirmed_at = now;
+  // The answer may have waited here, and tells nothing of what came after it.
+  bool verified = map.must_verify && seen.sent_at >= map.doubted_at;
+  if (verified) map.must_verify = false;
+  map.confirmed_at = std::max(map.confirmed_at, seen.sent_at);
   if (map.map && position <= map.position) {
     map.behind_since.reset();
     if (verified) resume_coordinator_role(state, map, now, effects);
@@ -327,6 +337,7 @@
     case WriteOutcome::kWritten: {
       OwnerMap written = std::move(*map.pending_write);
       map.pending_write.reset();
+      map.confirmed_at = std::max(map.confirmed_at, map.write_sent_at);
       if (map.map) {
         MapChange change =
             change_between(*map.map, map.position, written, ended.position);
@@ -339,7 +350,7 @@
     case WriteOutcome::kConflict:
       map.pending_write.reset();
       map.next_write = now + kWriteRetryDelay;
-      effects.emplace_back(ReadMap{ended.service});
+      effects.emplace_back(ReadMap{ended.service, now});
       break;
     case WriteOutcome::kWriteRefused:
       // An earlier send of the same write may still be carried out.
@@ -440,7 +451,7 @@
     }
     if (map.coordinator_role && term.term > map.map->term) {
       end_coordinator_role(map, "higher_term_heard", effects);
-      map.must_verify = true;
+      doubt_map(map, now);
     }
   }
 }
@@ -452,7 +463,7 @@
   state.resumed_at = now;
   for (auto& [service, map] : state.maps) {
     if (!map.coordinator_role) continue;
-    map.must_verify = true;
+    doubt_map(map, now);
     map.next_read = now;
   }
 }
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -277,14 +277,17 @@
   std::optional<TimePoint> absent_since;
   std::optional<OwnerMap> pending_write;  ///< A write without outcome yet.
   std::uint64_t write_number = 0;         ///< Of the last write.
+  TimePoint write_sent_at;                ///< When it was last sent.
   /// This version of the map was known when the store was restored, so that it
   /// does not come from the copy.
   bool known_before_restoration = false;
   TimePoint next_write;            ///< No write is sent before.
   bool resend_write = false;       ///< The pending write has to be sent again.
   bool write_may_be_done = false;  ///< It went unanswered once.
-  /// No order is sent until the store has confirmed the map again.
+  /// No order is sent until the store has confirmed the map in its answer to a
+  /// read sent at `doubted_at` or later.
   bool must_verify = false;
+  TimePoint doubted_at;
   TimePoint next_read;     ///< No read is sent before.
   TermEpoch highest_term;  ///< Highest term that any daemon has named.
   TermEpoch coordinated;   ///< The last term of this daemon as coordinator.
@@ -292,7 +295,8 @@
   TimePoint coordinator_heartbeat_at;
   /// Since when another daemon has had a newer map.
   std::optional<TimePoint> behind_since;
-  TimePoint confirmed_at;  ///< When the store last confirmed the map.
+  /// When the last call was sent whose answer has confirmed the map.
+  TimePoint confirmed_at;
   /// Set while this daemon coordinates the service.
   std::optional<CoordinatorRole> coordinator_role;
 };
--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -254,7 +254,7 @@
           [this](const fleet::CatchUp& e) { store_feed_.catch_up(e); },
           [this](const fleet::ReadStoreAgain&) { store_feed_.read_again(); },
           [this](const fleet::WriteMap& e) { store_feed_.write_map(e); },
-          [this](const fleet::ReadMap& e) { store_feed_.read_map(e.service); },
+          [this](const fleet::ReadMap& e) { store_feed_.read_map(e); },
           [this](const fleet::ReadQuarantineRecord&) {
             store_feed_.read_quarantine_record();
           },
--- a/src/io/store_feed.cc
+++ b/src/io/store_feed.cc
@@ -363,7 +363,7 @@
   return update;
 }
 
-void StoreFeed::emit(const StoredObject& object) {
+void StoreFeed::emit(const StoredObject& object, TimePoint sent_at) {
   if (const auto* unreadable = std::get_if<UnreadableObject>(&object.value)) {
     return log_unreadable(object, unreadable->why);
   }
@@ -378,14 +378,14 @@
     return sink_(fleet::ServerSeen{*server});
   }
   if (const auto* record = std::get_if<RecordText>(&object.value)) {
-    if (!object.deleted) emit_record(object, *record);
+    if (!object.deleted) emit_record(object, *record, sent_at);
     return;
   }
   if (object.deleted) sink_(fleet::ServerRemoved{ServerName(object.name)});
 }
 
 void StoreFeed::emit_record(const StoredObject& object,
-                            const RecordText& record) {
+                            const RecordText& record, TimePoint sent_at) {
   auto unreadable = [&](const Error& error) {
     log_line(LogLevel::kError,
              {{"event", "record_unreadable"},
@@ -396,7 +396,7 @@
   if (object.name.starts_with(kMapPrefix)) {
     auto map = codec::decode_owner_map(record.text, era());
     if (!ok(map)) return unreadable(error(map));
-    return sink_(fleet::MapSeen{value(map), object.revision, era()});
+    return sink_(fleet::MapSeen{value(map), object.revision, era(), sent_at});
   }
   if (object.name.starts_with(kDaemonPrefix)) {
     auto daemon = codec::decode_daemon(record.text);
@@ -441,20 +441,21 @@
   sink_(ended);
 }
 
-void StoreFeed::read_map(const ServiceName& service) {
-  store_.read(ObjectKind::kRecords, map_record_name(service),
-              [this, service](const PageResult& result) {
+void StoreFeed::read_map(const fleet::ReadMap& read) {
+  store_.read(ObjectKind::kRecords, map_record_name(read.service),
+              [this, read](const PageResult& result) {
                 if (!accept_era(stated_era(result)))
                   return sink_(fleet::StoreFailed{kEarlierEra.why});
                 if (const auto* page = std::get_if<ObjectPage>(&result)) {
                   sink_(fleet::StoreAnswered());
-                  for (const StoredObject& object : page->objects) emit(object);
+                  for (const StoredObject& object : page->objects)
+                    emit(object, read.sent_at);
                   return;
                 }
                 const auto& failure = std::get<StoreFailure>(result);
                 if (failure.kind == StoreFailureKind::kMissing) {
                   sink_(fleet::StoreAnswered());
-                  return sink_(fleet::MapMissing{service, era()});
+                  return sink_(fleet::MapMissing{read.service, era()});
                 }
                 sink_(fleet::StoreFailed{failure.why, failure.overdue});
               });
--- a/src/io/store_feed.h
+++ b/src/io/store_feed.h
@@ -37,7 +37,7 @@
   /// end without effect.
   void read_again();
   void write_map(const fleet::WriteMap& write);
-  void read_map(const ServiceName& service);
+  void read_map(const fleet::ReadMap& read);
   void read_quarantine_record();
   void write_quarantine_record(const fleet::WriteQuarantineRecord& write);
 
@@ -76,8 +76,10 @@
   bool accept_era(const std::optional<StoreEra>& stated);
   void retry(ObjectKind kind, const StoreFailure& failure, bool relist);
   fleet::StoreUpdate store_update_of(ObjectKind kind, const ObjectPage& page);
-  void emit(const StoredObject& object);
-  void emit_record(const StoredObject& object, const RecordText& record);
+  /// `sent_at` is when the read of a map was sent; 0 for lists.
+  void emit(const StoredObject& object, TimePoint sent_at = {});
+  void emit_record(const StoredObject& object, const RecordText& record,
+                   TimePoint sent_at);
   void emit_write_result(const ServiceName& service, std::uint64_t number,
                          const ChangeResult& result);
   void register_daemon();
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -452,7 +452,7 @@
             },
             [&](const ReadMap& e) {
               after(milliseconds(10), [this, daemon, incarnation, e] {
-                read(daemon, incarnation, e.service);
+                read(daemon, incarnation, e);
               });
             },
             [&](const GrantKeys& e) { send_grant(daemon, incarnation, e); },
@@ -565,15 +565,15 @@
   }
 
   void read(std::size_t daemon, std::uint64_t incarnation,
-            const ServiceName& service) {
+            const ReadMap& request) {
     if (!reaches_store(daemon))
       return post(daemon, incarnation, StoreFailed{"down"});
     if (!map_) {
       answer_from_store(daemon, incarnation);
       post(daemon, incarnation, StoreAnswered());
-      return post(daemon, incarnation, MapMissing{service, era()});
+      return post(daemon, incarnation, MapMissing{request.service, era()});
     }
-    MapSeen seen{*map_, revision_, era()};
+    MapSeen seen{*map_, revision_, era(), request.sent_at};
     auto answer = [this, daemon, incarnation, seen] {
       answer_from_store(daemon, incarnation);
       post(daemon, incarnation, StoreAnswered());
--- a/tests/replaced_coordinator_test.cc
+++ b/tests/replaced_coordinator_test.cc
@@ -101,5 +101,28 @@
   }
 }
 
+// Guards against an answer from before a pause that confirms the map after it.
+TEST(ReplacedCoordinatorTest, AnswerFromBeforeAPauseDoesNotConfirmTheMap) {
+  ReplacedCoordinator play;
+  MapState& map = play.map_of_first();
+  auto read_is_sent = [&] {
+    return map.next_read == play.world.now() + config::kMapCheckInterval;
+  };
+  for (int i = 0; i < 500 && !read_is_sent(); ++i)
+    play.world.run_for(milliseconds(20));
+  ASSERT_TRUE(read_is_sent());
+  play.world.freeze(play.first);
+  play.world.run_for(milliseconds(20));
+  play.cut_off();
+  play.cut_others_from_server();
+  play.run_until_replaced();
+  ASSERT_TRUE(play.successor());
+  play.world.drain_server(kUnreached);
+  play.world.run_for(kRecoveryTime);
+  play.world.thaw(play.first);
+  play.world.run_for(seconds(10));
+  EXPECT_EQ(play.first_violation(), "");
+}
+
 }  // namespace
 }  // namespace eelgrasspin::fleet
