Renew grants only while the store confirms the map

Cause: a successor takes it that its predecessor stops 15 s after its own term began. The predecessor counted its 15 s from the last answer of the store to anything, and from its arrival: a store that answers watches but not reads of the map, or an answer that waited here, prolonged them. Orders that follow the end of another one were not bound by the time at all.

Evidence: replaced_coordinator_test, OnlyAnswersAboutTheMapProlongItsRenewals and LateAnswerDoesNotProlongItsRenewals, fail before: two holders.

The bound now counts from the sending of the last call that confirmed the map, and holds for every order. A coordinator that has stopped for this reason is heard and reaches the store, so that nobody replaced it (CoordinatorThatCannotReadItsMapIsReplaced fails before, and with the bound alone): one that does not state its role, 1 s after the map was adopted, counts as not working, and others do not wait for it to take over. Price: the map is read each 3 s as before; in an outage of the store, renewals end up to 3 s sooner.

--- a/src/fleet/election.cc
+++ b/src/fleet/election.cc
@@ -68,6 +68,15 @@
   return false;
 }
 
+/// Whether the daemon is the coordinator of the map and has stopped. It does
+/// not take over from itself, unless the store has lost who had the role.
+bool is_former_coordinator(const State& state, const MapState& map,
+                           const Heartbeat& heartbeat) {
+  return map.map && !is_lost(state, map) && !lacks_known_term(state, map) &&
+         heartbeat.daemon.name == map.map->coordinator &&
+         heartbeat.daemon.incarnation == map.map->coordinator_incarnation;
+}
+
 /// Whether no other daemon that could take over has a lower rank. If the store
 /// has lost the latest map, a daemon that knows a later one comes first.
 bool is_first_candidate(const State& state, const ServiceName& service,
@@ -75,7 +84,8 @@
   auto own = takeover_rank(state, service, state.settings.self.name);
   for (const auto& [name, peer] : state.fleet.peers) {
     if (!is_alive(state, name, now) || peer.heartbeat.stopping ||
-        !store_is_reachable(peer.heartbeat.store_unreachable_for)) {
+        !store_is_reachable(peer.heartbeat.store_unreachable_for) ||
+        is_former_coordinator(state, map, peer.heartbeat)) {
       continue;
     }
     StorePosition theirs = stated_position(peer.heartbeat, service);
@@ -101,9 +111,14 @@
   }
   const Heartbeat& last = peer->second.heartbeat;
   // One that has not learned of the write that made it coordinator cannot read
-  // it from the store any more.
-  if (is_lost(state, map_state) && !states_role(last, service)) return false;
-  // It may have written the map since it sent its last heartbeat.
+  // it from the store any more. Otherwise it may have written the map since it
+  // sent its last heartbeat.
+  bool has_stopped = !states_role(last, service) &&
+                     now - map_state.adopted_at >= config::kDaemonTimeout;
+  if (has_stopped ||
+      (is_lost(state, map_state) && !states_role(last, service))) {
+    return false;
+  }
   bool reaches_store = store_is_reachable(last.store_unreachable_for) ||
                        map_state.adopted_at > peer->second.received_at;
   return last.daemon.incarnation == map.coordinator_incarnation &&
--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -582,9 +582,14 @@
 
 }  // namespace
 
+bool may_send_orders(const MapState& map, TimePoint now) {
+  return !map.must_verify &&
+         now - map.confirmed_at < config::kMaxRenewalWithoutStore;
+}
+
 void send_due_orders(State& state, const ServiceName& service, MapState& map,
                      TimePoint now, Effects& effects) {
-  if (map.must_verify) return;
+  if (!may_send_orders(map, now)) return;
   CoordinatorRole& coordinator_role = *map.coordinator_role;
   prune(state, coordinator_role, now);
   if (coordinator_role.recall) send_recalls(state, service, map, now, effects);
@@ -666,7 +671,7 @@
   } else if (order.release && ended.result == OrderResult::kOtherServer) {
     lease->released[order.server] = ReleaseProof::kAddressReused;
   }
-  if (map.must_verify) {
+  if (!may_send_orders(map, now)) {
     set_due(*map.coordinator_role, order.first, *lease, now);
   } else {
     visit_range(state, order.service, map, order.first, *lease, now, effects);
--- a/src/fleet/leases.h
+++ b/src/fleet/leases.h
@@ -9,8 +9,12 @@
 /// Matches the leases to the ranges of the map: keeps those of ranges with
 /// unchanged owner and epoch, and starts new ones for the others.
 void update_leases(MapState& map);
+/// A coordinator whose map the store has not confirmed for long may have been
+/// replaced. Answers of the store about anything else do not show that it has
+/// not been.
+bool may_send_orders(const MapState& map, TimePoint now);
 /// Sends the orders that are due, as far as allow_orders_of_tick() allows; none
-/// while the map has to be verified.
+/// unless may_send_orders().
 void send_due_orders(State& state, const ServiceName& service, MapState& map,
                      TimePoint now, Effects& effects);
 /// Allows as many orders as may be sent until the next tick.
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -207,15 +207,6 @@
   return store_unreachable_for(state, now) < config::kCoordinatorStoreTimeout;
 }
 
-/// A coordinator that cannot reach the store for long may have been replaced.
-/// After a restoration, only an answer about its map shows that it has not
-/// been.
-bool may_send_orders(const State& state, const MapState& map, TimePoint now) {
-  TimePoint confirmed =
-      is_lost(state, map) ? map.confirmed_at : state.store_answered_at;
-  return now - confirmed < config::kMaxRenewalWithoutStore;
-}
-
 /// Another daemon may have replaced this one as the coordinator.
 void doubt_map(MapState& map, TimePoint now) {
   map.must_verify = true;
@@ -230,7 +221,7 @@
     map.next_read = now + config::kMapCheckInterval;
     effects.emplace_back(ReadMap{service, now});
   }
-  if (!may_send_orders(state, map, now)) {
+  if (!may_send_orders(map, now)) {
     doubt_map(map, now);
     return end_coordinator_role(map, "store_silent", effects);
   }
--- a/tests/replaced_coordinator_test.cc
+++ b/tests/replaced_coordinator_test.cc
@@ -124,5 +124,50 @@
   EXPECT_EQ(play.first_violation(), "");
 }
 
+// Guards against counting the time without the store from the arrival of an
+// answer that was late.
+TEST(ReplacedCoordinatorTest, LateAnswerDoesNotProlongItsRenewals) {
+  ReplacedCoordinator play;
+  play.world.faults.map_answer_delay = seconds(5);
+  play.world.run_for(seconds(4));
+  play.cut_off();
+  play.cut_others_from_server();
+  play.run_until_replaced();
+  ASSERT_TRUE(play.successor());
+  play.world.drain_server(kUnreached);
+  play.world.run_for(kRecoveryTime);
+  EXPECT_EQ(play.first_violation(), "");
+}
+
+// Guards against renewals for as long as the store answers anything.
+TEST(ReplacedCoordinatorTest, OnlyAnswersAboutTheMapProlongItsRenewals) {
+  ReplacedCoordinator play;
+  play.cut_off();
+  play.cut_others_from_server();
+  play.run_until_replaced();
+  ASSERT_TRUE(play.successor());
+  play.world.drain_server(kUnreached);
+  for (Duration done{0}; done < kRecoveryTime; done += milliseconds(20)) {
+    play.world.post(play.first, StoreAnswered());
+    play.world.run_for(milliseconds(20));
+  }
+  EXPECT_EQ(play.first_violation(), "");
+}
+
+// Guards against keys without an owner because the coordinator has stopped, but
+// is heard and reaches the store.
+TEST(ReplacedCoordinatorTest, CoordinatorThatCannotReadItsMapIsReplaced) {
+  ReplacedCoordinator play;
+  play.world.cut_from_store.insert(play.first);
+  for (Duration done{0}; done < seconds(20); done += milliseconds(20)) {
+    play.world.post(play.first, StoreAnswered());
+    play.world.run_for(milliseconds(20));
+    EXPECT_TRUE(play.world.all_held()) << done.count();
+  }
+  auto coordinator = play.world.coordinator();
+  EXPECT_TRUE(coordinator && coordinator != play.first);
+  EXPECT_EQ(play.first_violation(), "");
+}
+
 }  // namespace
 }  // namespace eelgrasspin::fleet
