Stop all orders once a server refuses a grant as outdated

Cause: a replaced coordinator that reaches neither the store nor its successor learned from a refused renewal only about that range, and went on renewing the others for up to 15 s. A server that has released its keys to the successor and starts again under its name has forgotten the epochs, and takes such a renewal.

Evidence: replaced_coordinator_test, OneRefusedRenewalEndsItsOrdersToAllServers, fails before: "granted to s1 with 2 after s0 with 4" on 12 of 25 offsets.

A refused grant of the current epoch now stops all orders of the service until the store has confirmed the map. Price: the one read that was sent before, and none for further refusals until its answer. Left: a server that starts again before any renewal of the old coordinator was refused.

--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -441,6 +441,18 @@
   lease.handover.clear();
 }
 
+/// Another coordinator may have sent orders; the store shows whether one has
+/// taken over. Other servers may have forgotten its epochs with a restart, so
+/// that no order is sent before.
+void on_fenced(MapState& map, Lease& lease, const Order& order, TimePoint now,
+               Effects& effects) {
+  lease.confirmed = false;
+  lease.fenced = true;
+  if (map.must_verify) return;
+  doubt_map(map, now);
+  effects.emplace_back(ReadMap{order.service, now});
+}
+
 void on_released(Lease& lease, const Order& order, const OrderEnded& ended,
                  TimePoint now, Effects& effects) {
   lease.released[order.server] = ReleaseProof::kAnswered;
@@ -489,8 +501,9 @@
 void record_possible_grant(CoordinatorRole& coordinator_role,
                            const PossibleGrant& possible, TimePoint now) {
   auto& grants = coordinator_role.possible_grants[possible.owner.name];
-  std::erase_if(
-      grants, [now](const PossibleGrant& grant) { return grant.until <= now; });
+  std::erase_if(grants, [now](const PossibleGrant& grant) {
+    return grant.until <= now;
+  });
   for (PossibleGrant& known : grants) {
     if (known.owner == possible.owner && known.first == possible.first &&
         known.last == possible.last) {
@@ -582,6 +595,11 @@
 
 }  // namespace
 
+void doubt_map(MapState& map, TimePoint now) {
+  map.must_verify = true;
+  map.doubted_at = now;
+}
+
 bool may_send_orders(const MapState& map, TimePoint now) {
   return !map.must_verify &&
          now - map.confirmed_at < config::kMaxRenewalWithoutStore;
@@ -663,11 +681,7 @@
     }
     on_granted(*lease, order, now, effects);
   } else if (ended.result == OrderResult::kFenced && !order.release) {
-    // Another coordinator may have sent orders; the store shows whether one has
-    // taken over.
-    lease->confirmed = false;
-    lease->fenced = true;
-    effects.emplace_back(ReadMap{order.service, now});
+    on_fenced(map, *lease, order, now, effects);
   } else if (order.release && ended.result == OrderResult::kOtherServer) {
     lease->released[order.server] = ReleaseProof::kAddressReused;
   }
--- a/src/fleet/leases.h
+++ b/src/fleet/leases.h
@@ -9,6 +9,8 @@
 /// Matches the leases to the ranges of the map: keeps those of ranges with
 /// unchanged owner and epoch, and starts new ones for the others.
 void update_leases(MapState& map);
+/// Another daemon may have replaced this one as the coordinator.
+void doubt_map(MapState& map, TimePoint now);
 /// A coordinator whose map the store has not confirmed for long may have been
 /// replaced. Answers of the store about anything else do not show that it has
 /// not been.
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -207,12 +207,6 @@
   return store_unreachable_for(state, now) < config::kCoordinatorStoreTimeout;
 }
 
-/// Another daemon may have replaced this one as the coordinator.
-void doubt_map(MapState& map, TimePoint now) {
-  map.must_verify = true;
-  map.doubted_at = now;
-}
-
 void run_coordinator_role(State& state, const ServiceName& service,
                           MapState& map, TimePoint now, Effects& effects) {
   if (map.must_verify) return;
--- a/tests/replaced_coordinator_test.cc
+++ b/tests/replaced_coordinator_test.cc
@@ -169,5 +169,30 @@
   EXPECT_EQ(play.first_violation(), "");
 }
 
+// Guards against renewals at a restarted server by a coordinator that another
+// server has shown its successor's epoch.
+TEST(ReplacedCoordinatorTest, OneRefusedRenewalEndsItsOrdersToAllServers) {
+  constexpr std::uint32_t kBusyKey = 105;
+  for (Duration offset{0}; offset < milliseconds(2500);
+       offset += milliseconds(100)) {
+    ReplacedCoordinator play(seconds(4));
+    play.world.check_epochs = true;
+    for (Duration done{0}; done < seconds(3) + offset;
+         done += milliseconds(20)) {
+      play.world.add_key_load(play.first, kBusyKey, 0.1);
+      play.world.run_for(milliseconds(20));
+    }
+    play.cut_off();
+    play.run_until_replaced();
+    ASSERT_TRUE(play.successor());
+    play.world.run_for(milliseconds(100));
+    play.world.drain_server(kUnreached);
+    play.world.run_for(milliseconds(1200));
+    play.world.restart_server(kUnreached);
+    play.world.run_for(kRecoveryTime);
+    EXPECT_EQ(play.first_violation(), "") << offset.count();
+  }
+}
+
 }  // namespace
 }  // namespace eelgrasspin::fleet
