Wait for earlier grants if a server has forgotten the epoch

Cause: a successor shortens its wait for the predecessor's grants at a server that has answered an order of the new term, as that server refuses the old epochs.

The bound of before is kept, and counts once the registry lists another process of the server. Price: none, unless such a server does not answer the successor; if it does, a release shows it the new epoch. A server whose restart the registry does not show is left.

--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -153,6 +153,11 @@
                      });
 }
 
+/// When the grant expires whether or not the server has started again.
+TimePoint expiry(const PossibleGrant& grant) {
+  return std::max(grant.until, grant.until_if_restarted);
+}
+
 /// When the last grant to the holder for these keys expires; `now` if all have.
 /// Those to its earlier incarnations count, as they may have reached this one.
 TimePoint grants_end(const State& state,
@@ -163,8 +168,13 @@
   TimePoint end = now;
   auto possible = coordinator_role.possible_grants.find(holder.name);
   if (possible == coordinator_role.possible_grants.end()) return end;
+  auto server = state.servers.find(holder.name);
   for (const PossibleGrant& grant : possible->second) {
-    if (overlaps(range, grant)) end = std::max(end, grant.until);
+    if (!overlaps(range, grant)) continue;
+    bool restarted =
+        server != state.servers.end() &&
+        server->second.server.incarnation != grant.owner.incarnation;
+    end = std::max(end, restarted ? expiry(grant) : grant.until);
   }
   return end;
 }
@@ -359,7 +369,8 @@
 }
 
 /// The server has seen this term's epoch for these keys, so that orders of the
-/// coordinator before can no longer extend a grant.
+/// coordinator before can no longer extend a grant, unless its next process
+/// takes them.
 void shorten_inherited_grants(const Settings& settings,
                               CoordinatorRole& coordinator_role, Lease& lease,
                               const Order& order, TimePoint now) {
@@ -368,6 +379,7 @@
   for (PossibleGrant& possible :
        coordinator_role.possible_grants[order.server.name]) {
     if (possible.first != order.first || possible.last != order.last) continue;
+    possible.until_if_restarted = expiry(possible);
     possible.until = std::min(possible.until, now + expiry_after_arrival(hold));
   }
 }
@@ -502,7 +514,7 @@
                            const PossibleGrant& possible, TimePoint now) {
   auto& grants = coordinator_role.possible_grants[possible.owner.name];
   std::erase_if(grants, [now](const PossibleGrant& grant) {
-    return grant.until <= now;
+    return expiry(grant) <= now;
   });
   for (PossibleGrant& known : grants) {
     if (known.owner == possible.owner && known.first == possible.first &&
@@ -576,7 +588,7 @@
   coordinator_role.pruned_at = now;
   for (auto& [server, grants] : coordinator_role.possible_grants) {
     std::erase_if(grants, [now](const PossibleGrant& grant) {
-      return grant.until <= now;
+      return expiry(grant) <= now;
     });
   }
   std::erase_if(coordinator_role.possible_grants,
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -378,8 +378,10 @@
   if (!role.predecessors.empty()) return;
   TimePoint end = now + longest_hold_of_ended_role(state.settings);
   for (auto& [server, grants] : role.possible_grants) {
-    for (PossibleGrant& grant : grants)
+    for (PossibleGrant& grant : grants) {
       grant.until = std::min(grant.until, end);
+      grant.until_if_restarted = std::min(grant.until_if_restarted, end);
+    }
   }
 }
 
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -166,6 +166,9 @@
   ServerIncarnation owner;
   /// When every grant that may have been carried out has expired.
   TimePoint until;
+  /// The same if `owner` has ended, and its next process has taken orders of an
+  /// earlier coordinator, which `owner` refused.
+  TimePoint until_if_restarted;
 };
 
 /// Failed connections of the coordinator to one server.
--- a/tests/replaced_coordinator_test.cc
+++ b/tests/replaced_coordinator_test.cc
@@ -194,5 +194,24 @@
   }
 }
 
+// Guards against trusting an epoch that a server has seen, but has forgotten
+// with its restart.
+TEST(ReplacedCoordinatorTest, GrantsToARestartedServerAreWaitedFor) {
+  for (Duration offset{0}; offset < milliseconds(2500);
+       offset += milliseconds(100)) {
+    ReplacedCoordinator play(seconds(10) + offset);
+    play.cut_off();
+    play.run_until_replaced();
+    ASSERT_TRUE(play.successor());
+    play.world.run_for(milliseconds(60));
+    play.cut_others_from_server();
+    play.world.restart_server(kUnreached);
+    play.world.run_for(milliseconds(100));
+    play.world.drain_server(kUnreached);
+    play.world.run_for(kRecoveryTime);
+    EXPECT_EQ(play.first_violation(), "") << offset.count();
+  }
+}
+
 }  // namespace
 }  // namespace eelgrasspin::fleet
