--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -153,6 +153,11 @@
                      });
 }
 
+/// When the grant expires whether or not the server has started again.
+TimePoint expiry(const PossibleGrant& grant) {
+  return std::max(grant.until, grant.until_if_restarted);
+}
+
 /// When the last grant to the holder for these keys expires; `now` if all have.
 /// Those to its earlier incarnations count, as they may have reached this one.
 TimePoint grants_end(const State& state,
@@ -163,8 +168,13 @@
   TimePoint end = now;
   auto possible = coordinator_role.possible_grants.find(holder.name);
   if (possible == coordinator_role.possible_grants.end()) return end;
+  auto server = state.servers.find(holder.name);
   for (const PossibleGrant& grant : possible->second) {
-    if (overlaps(range, grant)) end = std::max(end, grant.until);
+    if (!overlaps(range, grant)) continue;
+    bool restarted =
+        server != state.servers.end() &&
+        server->second.server.incarnation != grant.owner.incarnation;
+    end = std::max(end, restarted ? expiry(grant) : grant.until);
   }
   return end;
 }
@@ -359,7 +369,8 @@
 }
 
 /// The server has seen this term's epoch for these keys, so that orders of the
-/// coordinator before can no longer extend a grant.
+/// coordinator before can no longer extend a grant, unless its next process
+/// takes them.
 void shorten_inherited_grants(const Settings& settings,
                               CoordinatorRole& coordinator_role, Lease& lease,
                               const Order& order, TimePoint now) {
@@ -368,6 +379,7 @@
   for (PossibleGrant& possible :
        coordinator_role.possible_grants[order.server.name]) {
     if (possible.first != order.first || possible.last != order.last) continue;
+    possible.until_if_restarted = expiry(possible);
     possible.until = std::min(possible.until, now + expiry_after_arrival(hold));
   }
 }
@@ -472,6 +484,18 @@
   lease.handover.clear();
 }
 
+/// Another coordinator may have sent orders; the store shows whether one has
+/// taken over. Other servers may have forgotten its epochs with a restart, so
+/// that no order is sent before.
+void on_fenced(MapState& map, Lease& lease, const Order& order, TimePoint now,
+               Effects& effects) {
+  lease.confirmed = false;
+  lease.fenced = true;
+  if (map.must_verify) return;
+  doubt_map(map, now);
+  effects.emplace_back(ReadMap{order.service, now});
+}
+
 void on_released(Lease& lease, const Order& order, const OrderEnded& ended,
                  TimePoint now, Effects& effects) {
   lease.released[order.server] = ReleaseProof::kAnswered;
@@ -513,11 +537,16 @@
       settings, std::min(config::kLowTrafficGrantHold, settings.hold_max));
 }
 
+Duration longest_hold_of_ended_role(const Settings& settings) {
+  return config::kGrantTimeout + longest_hold(settings);
+}
+
 void record_possible_grant(CoordinatorRole& coordinator_role,
                            const PossibleGrant& possible, TimePoint now) {
   auto& grants = coordinator_role.possible_grants[possible.owner.name];
-  std::erase_if(
-      grants, [now](const PossibleGrant& grant) { return grant.until <= now; });
+  std::erase_if(grants, [now](const PossibleGrant& grant) {
+    return expiry(grant) <= now;
+  });
   for (PossibleGrant& known : grants) {
     if (known.owner == possible.owner && known.first == possible.first &&
         known.last == possible.last) {
@@ -590,7 +619,7 @@
   coordinator_role.pruned_at = now;
   for (auto& [server, grants] : coordinator_role.possible_grants) {
     std::erase_if(grants, [now](const PossibleGrant& grant) {
-      return grant.until <= now;
+      return expiry(grant) <= now;
     });
   }
   std::erase_if(coordinator_role.possible_grants,
@@ -609,9 +638,19 @@
 
 }  // namespace
 
+void doubt_map(MapState& map, TimePoint now) {
+  map.must_verify = true;
+  map.doubted_at = now;
+}
+
+bool may_send_orders(const MapState& map, TimePoint now) {
+  return !map.must_verify &&
+         now - map.confirmed_at < config::kMaxRenewalWithoutStore;
+}
+
 void send_due_orders(State& state, const ServiceName& service, MapState& map,
                      TimePoint now, Effects& effects) {
-  if (map.must_verify) return;
+  if (!may_send_orders(map, now)) return;
   CoordinatorRole& coordinator_role = *map.coordinator_role;
   prune(state, coordinator_role, now);
   if (coordinator_role.recall) send_recalls(state, service, map, now, effects);
@@ -685,15 +724,11 @@
     }
     on_granted(*lease, order, now, effects);
   } else if (ended.result == OrderResult::kFenced && !order.release) {
-    // Another coordinator may have sent orders; the store shows whether one has
-    // taken over.
-    lease->confirmed = false;
-    lease->fenced = true;
-    effects.emplace_back(ReadMap{order.service});
+    on_fenced(map, *lease, order, now, effects);
   } else if (order.release && ended.result == OrderResult::kOtherServer) {
     lease->released[order.server] = ReleaseProof::kAddressReused;
   }
-  if (map.must_verify) {
+  if (!may_send_orders(map, now)) {
     set_due(*map.coordinator_role, order.first, *lease, now);
   } else {
     visit_range(state, order.service, map, order.first, *lease, now, effects);
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -41,17 +41,19 @@
 TimePoint earlier_grants_end(const State& state,
                              const std::vector<DaemonIncarnation>& predecessors,
                              TimePoint now) {
-  Duration renewing =
-      predecessors.empty() ? Duration(0) : config::kMaxRenewalWithoutStore;
-  return now + renewing + longest_hold(state.settings);
+  // The end of a process has ended its orders.
+  if (predecessors.empty()) return now + longest_hold(state.settings);
+  return now + config::kMaxRenewalWithoutStore +
+         longest_hold_of_ended_role(state.settings);
 }
 
 /// No known daemon that may have made lost grants renews them any more.
 void bound_lost_grants(const State& state, CoordinatorRole& role,
                        TimePoint now) {
   if (role.unknown_coordinators) return;
-  Duration rest =
-      role.grants_may_be_lost ? longest_hold(state.settings) : Duration(0);
+  Duration rest = role.grants_may_be_lost
+                      ? longest_hold_of_ended_role(state.settings)
+                      : Duration(0);
   role.lost_grants_until = std::min(*role.lost_grants_until, now + rest);
 }
 
@@ -61,8 +63,8 @@
 void expect_lost_grants(const State& state, CoordinatorRole& role,
                         TermEpoch term, bool lost_before, TimePoint now) {
   role.grants_may_be_lost = lost_before || !remembers_lost_grants(state);
-  role.lost_grants_until =
-      now + config::kMaxRenewalWithoutStore + longest_hold(state.settings);
+  role.lost_grants_until = now + config::kMaxRenewalWithoutStore +
+                           longest_hold_of_ended_role(state.settings);
   role.term_before_loss = term;
   role.recall.reset();
   role.lost_coordinators.clear();
@@ -145,7 +147,6 @@
   map.known_before_restoration = false;
   map.absent_since.reset();
   map.behind_since.reset();
-  map.confirmed_at = now;
   map.highest_term = std::max(map.highest_term, next.term);
   if (new_term) map.coordinator_heartbeat_at = now;
   log_event(effects, "map_adopted",
@@ -166,19 +167,20 @@
   retry_waiting(state, now, effects);
 }
 
-void send_write(MapState& map, Effects& effects) {
+void send_write(MapState& map, TimePoint now, Effects& effects) {
   map.resend_write = false;
+  map.write_sent_at = now;
   effects.emplace_back(
       WriteMap{*map.pending_write, map.stored.revision, map.write_number});
 }
 
 void start_write(const State& state, MapState& map, OwnerMap next,
-                 Effects& effects) {
+                 TimePoint now, Effects& effects) {
   next.era = current_era(state);
   map.pending_write = std::move(next);
   ++map.write_number;
   map.write_may_be_done = false;
-  send_write(map, effects);
+  send_write(map, now, effects);
 }
 
 /// Whether this daemon has read what a restored store holds of the map, which
@@ -205,25 +207,16 @@
   return store_unreachable_for(state, now) < config::kCoordinatorStoreTimeout;
 }
 
-/// A coordinator that cannot reach the store for long may have been replaced.
-/// After a restoration, only an answer about its map shows that it has not
-/// been.
-bool may_send_orders(const State& state, const MapState& map, TimePoint now) {
-  TimePoint confirmed =
-      is_lost(state, map) ? map.confirmed_at : state.store_answered_at;
-  return now - confirmed < config::kMaxRenewalWithoutStore;
-}
-
 void run_coordinator_role(State& state, const ServiceName& service,
                           MapState& map, TimePoint now, Effects& effects) {
   if (map.must_verify) return;
   if (now - map.confirmed_at >= config::kMapCheckInterval &&
       now >= map.next_read) {
     map.next_read = now + config::kMapCheckInterval;
-    effects.emplace_back(ReadMap{service});
+    effects.emplace_back(ReadMap{service, now});
   }
-  if (!may_send_orders(state, map, now)) {
-    map.must_verify = true;
+  if (!may_send_orders(map, now)) {
+    doubt_map(map, now);
     return end_coordinator_role(map, "store_silent", effects);
   }
   allow_orders_of_tick(state, *map.coordinator_role);
@@ -234,24 +227,25 @@
   }
   // A write of an earlier era that was carried out late may have replaced it.
   if (is_lost(state, map) || map.stored != map.position) {
-    return start_write(state, map, map_after_loss(state, map, now), effects);
+    return start_write(state, map, map_after_loss(state, map, now), now,
+                       effects);
   }
   auto next = replan(state, service, map, now, effects);
-  if (next) start_write(state, map, std::move(*next), effects);
+  if (next) start_write(state, map, std::move(*next), now, effects);
 }
 
 void tick_service(State& state, const ServiceName& service, TimePoint now,
                   Effects& effects) {
   MapState& map = state.maps[service];
   if (map.pending_write && map.resend_write && now >= map.next_write)
-    send_write(map, effects);
+    send_write(map, now, effects);
   bool behind = map.behind_since &&
                 now - *map.behind_since >= config::kOutdatedMapReadDelay;
   bool unknown = (!map.map && !map.absent_since) || map.must_verify || behind ||
                  !knows_stored(state, map);
   if (unknown && now >= map.next_read) {
     map.next_read = now + kMapReadInterval;
-    effects.emplace_back(ReadMap{service});
+    effects.emplace_back(ReadMap{service, now});
   }
   if (map.coordinator_role)
     run_coordinator_role(state, service, map, now, effects);
@@ -264,10 +258,11 @@
                {"term", text(map.map->term.next().value)},
                {"before", map.map->coordinator.str()},
                {"silent", text(now - map.coordinator_heartbeat_at)}});
-    return start_write(state, map, take_over_map(state, map, now), effects);
+    return start_write(state, map, take_over_map(state, map, now), now,
+                       effects);
   }
   auto first = first_map(state, service, now);
-  if (first) start_write(state, map, std::move(*first), effects);
+  if (first) start_write(state, map, std::move(*first), now, effects);
 }
 
 }  // namespace
@@ -278,8 +273,10 @@
   MapState& map = state.maps[seen.map.service];
   StorePosition position{seen.map.era, seen.revision};
   map.stored = std::max(map.stored, {seen.read_in, seen.revision});
-  bool verified = std::exchange(map.must_verify, false);
-  map.confirmed_at = now;
+  // The answer may have waited here, and tells nothing of what came after it.
+  bool verified = map.must_verify && seen.sent_at >= map.doubted_at;
+  if (verified) map.must_verify = false;
+  map.confirmed_at = std::max(map.confirmed_at, seen.sent_at);
   if (map.map && position <= map.position) {
     map.behind_since.reset();
     if (verified) resume_coordinator_role(state, map, now, effects);
@@ -325,6 +322,7 @@
     case WriteOutcome::kWritten: {
       OwnerMap written = std::move(*map.pending_write);
       map.pending_write.reset();
+      map.confirmed_at = std::max(map.confirmed_at, map.write_sent_at);
       if (map.map) {
         MapChange change =
             change_between(*map.map, map.position, written, ended.position);
@@ -337,7 +335,7 @@
     case WriteOutcome::kConflict:
       map.pending_write.reset();
       map.next_write = now + kWriteRetryDelay;
-      effects.emplace_back(ReadMap{ended.service});
+      effects.emplace_back(ReadMap{ended.service, now});
       break;
     case WriteOutcome::kWriteRefused:
       // An earlier send of the same write may still be carried out.
@@ -363,8 +361,7 @@
 namespace {
 
 /// A coordinator of an earlier term that knows of this one, or has ended, sends
-/// no more orders. Once all have, those already sent expire within the longest
-/// hold.
+/// no more orders. Once all have, those of before expire.
 void end_predecessor(const State& state, MapState& map,
                      const Heartbeat& heartbeat, TermEpoch known_term,
                      TimePoint now) {
@@ -374,14 +371,17 @@
                               return daemon.name == heartbeat.daemon.name;
                             });
   if (found == role.predecessors.end()) return;
-  bool ended = heartbeat.daemon.incarnation != found->incarnation;
+  // A heartbeat of an earlier process may come late.
+  bool ended = heartbeat.daemon.incarnation > found->incarnation;
   if (!ended && known_term < map.map->term) return;
   role.predecessors.erase(found);
   if (!role.predecessors.empty()) return;
-  TimePoint end = now + longest_hold(state.settings);
+  TimePoint end = now + longest_hold_of_ended_role(state.settings);
   for (auto& [server, grants] : role.possible_grants) {
-    for (PossibleGrant& grant : grants)
+    for (PossibleGrant& grant : grants) {
       grant.until = std::min(grant.until, end);
+      grant.until_if_restarted = std::min(grant.until_if_restarted, end);
+    }
   }
 }
 
@@ -398,9 +398,10 @@
                      return daemon.name == heartbeat.daemon.name;
                    });
   if (found == role.lost_coordinators.end()) return;
-  bool ended = heartbeat.daemon.incarnation != found->incarnation;
+  bool ended = heartbeat.daemon.incarnation > found->incarnation;
   bool has_not_coordinated =
-      !ended && term.coordinated && *term.coordinated < role.term_before_loss;
+      heartbeat.daemon.incarnation == found->incarnation && term.coordinated &&
+      *term.coordinated < role.term_before_loss;
   bool knows_this_term = !is_lost(state, map) && term.term >= map.map->term;
   if (!has_not_coordinated && !ended && !knows_this_term) return;
   if (!has_not_coordinated) role.grants_may_be_lost = true;
@@ -437,7 +438,7 @@
     }
     if (map.coordinator_role && term.term > map.map->term) {
       end_coordinator_role(map, "higher_term_heard", effects);
-      map.must_verify = true;
+      doubt_map(map, now);
     }
   }
 }
@@ -449,7 +450,7 @@
   state.resumed_at = now;
   for (auto& [service, map] : state.maps) {
     if (!map.coordinator_role) continue;
-    map.must_verify = true;
+    doubt_map(map, now);
     map.next_read = now;
   }
 }
--- /dev/null
+++ b/tests/replaced_coordinator_test.cc
@@ -0,0 +1,217 @@
+#include <gtest/gtest.h>
+
+#include "fleet/leases.h"
+#include "tests/fleet_world.h"
+
+/// Ownership of keys while a coordinator that has been replaced goes on
+/// renewing grants: it reaches servers, but neither the store nor its
+/// successor.
+namespace eelgrasspin::fleet {
+namespace {
+
+/// The server that only the replaced coordinator reaches.
+constexpr std::size_t kUnreached = 1;
+/// Longer than any grant, from any coordinator, may last.
+constexpr Duration kRecoveryTime = seconds(40);
+
+struct ReplacedCoordinator {
+  explicit ReplacedCoordinator(Duration settling = seconds(10))
+      : world(5, 4, 31) {
+    world.run_for(settling);
+    first = world.coordinator().value();
+    companion = (first + 1) % world.daemons();
+  }
+
+  bool is_cut_off(std::size_t daemon) const {
+    return daemon == first || daemon == companion;
+  }
+  /// Cuts the coordinator off from the store and from all daemons but one,
+  /// which it goes on hearing.
+  void cut_off() {
+    for (std::size_t cut : {first, companion}) {
+      world.cut_from_store.insert(cut);
+      for (std::size_t i = 0; i < world.daemons(); ++i) {
+        if (!is_cut_off(i)) world.cut_links.insert({cut, i});
+      }
+    }
+  }
+  void cut_others_from_server() {
+    for (std::size_t i = 0; i < world.daemons(); ++i) {
+      if (!is_cut_off(i)) world.cut_from_servers.insert({i, kUnreached});
+    }
+  }
+  std::optional<std::size_t> successor() {
+    for (std::size_t i = 0; i < world.daemons(); ++i) {
+      if (!is_cut_off(i) && world.state(i).maps[kBoard].coordinator_role)
+        return i;
+    }
+    return std::nullopt;
+  }
+  void run_until_replaced() {
+    for (int i = 0; i < 500 && !successor(); ++i)
+      world.run_for(milliseconds(20));
+  }
+  MapState& map_of_first() { return world.state(first).maps[kBoard]; }
+  std::string first_violation() const {
+    return world.violations.empty() ? "" : world.violations.front();
+  }
+
+  FleetWorld world;
+  std::size_t first = 0;
+  std::size_t companion = 0;
+};
+
+// Guards against a successor that takes a late heartbeat of the coordinator's
+// earlier process for its end.
+TEST(ReplacedCoordinatorTest, LateHeartbeatOfAnEarlierProcessEndsNothing) {
+  ReplacedCoordinator play;
+  play.cut_off();
+  play.cut_others_from_server();
+  play.run_until_replaced();
+  ASSERT_TRUE(play.successor());
+  play.world.run_for(seconds(1));
+  Heartbeat late;
+  late.daemon = play.world.state(play.first).settings.self;
+  late.daemon.incarnation = Incarnation(late.daemon.incarnation.value - 1);
+  late.terms.push_back({kBoard, TermEpoch(), Duration(0), StorePosition()});
+  play.world.post(*play.successor(), HeartbeatReceived{late});
+  play.world.drain_server(kUnreached);
+  play.world.run_for(kRecoveryTime);
+  EXPECT_EQ(play.first_violation(), "");
+}
+
+// Guards against forgetting an order that waits for its connection while the
+// coordinator learns of its successor.
+TEST(ReplacedCoordinatorTest, OrdersOnTheirWayAtTheEndOfItsRoleAreWaitedFor) {
+  for (Duration offset{0}; offset < seconds(4); offset += milliseconds(220)) {
+    ReplacedCoordinator play;
+    play.cut_off();
+    play.cut_others_from_server();
+    // The latest arrival of an order that has been given up.
+    play.world.order_delays[{play.first, kUnreached}] =
+        config::kGrantTimeout + Settings().max_delivery_delay +
+        config::kOrderArrivalSlack - milliseconds(20);
+    play.run_until_replaced();
+    ASSERT_TRUE(play.successor());
+    play.world.drain_server(kUnreached);
+    play.world.run_for(seconds(2) + offset);
+    play.world.cut_links.clear();
+    play.world.run_for(kRecoveryTime);
+    EXPECT_EQ(play.first_violation(), "") << offset.count();
+  }
+}
+
+// Guards against an answer from before a pause that confirms the map after it.
+TEST(ReplacedCoordinatorTest, AnswerFromBeforeAPauseDoesNotConfirmTheMap) {
+  ReplacedCoordinator play;
+  MapState& map = play.map_of_first();
+  auto read_is_sent = [&] {
+    return map.next_read == play.world.now() + config::kMapCheckInterval;
+  };
+  for (int i = 0; i < 500 && !read_is_sent(); ++i)
+    play.world.run_for(milliseconds(20));
+  ASSERT_TRUE(read_is_sent());
+  play.world.freeze(play.first);
+  play.world.run_for(milliseconds(20));
+  play.cut_off();
+  play.cut_others_from_server();
+  play.run_until_replaced();
+  ASSERT_TRUE(play.successor());
+  play.world.drain_server(kUnreached);
+  play.world.run_for(kRecoveryTime);
+  play.world.thaw(play.first);
+  play.world.run_for(seconds(10));
+  EXPECT_EQ(play.first_violation(), "");
+}
+
+// Guards against counting the time without the store from the arrival of an
+// answer that was late.
+TEST(ReplacedCoordinatorTest, LateAnswerDoesNotProlongItsRenewals) {
+  ReplacedCoordinator play;
+  play.world.faults.map_answer_delay = seconds(5);
+  play.world.run_for(seconds(4));
+  play.cut_off();
+  play.cut_others_from_server();
+  play.run_until_replaced();
+  ASSERT_TRUE(play.successor());
+  play.world.drain_server(kUnreached);
+  play.world.run_for(kRecoveryTime);
+  EXPECT_EQ(play.first_violation(), "");
+}
+
+// Guards against renewals for as long as the store answers anything.
+TEST(ReplacedCoordinatorTest, OnlyAnswersAboutTheMapProlongItsRenewals) {
+  ReplacedCoordinator play;
+  play.cut_off();
+  play.cut_others_from_server();
+  play.run_until_replaced();
+  ASSERT_TRUE(play.successor());
+  play.world.drain_server(kUnreached);
+  for (Duration done{0}; done < kRecoveryTime; done += milliseconds(20)) {
+    play.world.post(play.first, StoreAnswered());
+    play.world.run_for(milliseconds(20));
+  }
+  EXPECT_EQ(play.first_violation(), "");
+}
+
+// Guards against keys without an owner because the coordinator has stopped, but
+// is heard and reaches the store.
+TEST(ReplacedCoordinatorTest, CoordinatorThatCannotReadItsMapIsReplaced) {
+  ReplacedCoordinator play;
+  play.world.cut_from_store.insert(play.first);
+  for (Duration done{0}; done < seconds(20); done += milliseconds(20)) {
+    play.world.post(play.first, StoreAnswered());
+    play.world.run_for(milliseconds(20));
+    EXPECT_TRUE(play.world.all_held()) << done.count();
+  }
+  auto coordinator = play.world.coordinator();
+  EXPECT_TRUE(coordinator && coordinator != play.first);
+  EXPECT_EQ(play.first_violation(), "");
+}
+
+// Guards against renewals at a restarted server by a coordinator that another
+// server has shown its successor's epoch.
+TEST(ReplacedCoordinatorTest, OneRefusedRenewalEndsItsOrdersToAllServers) {
+  constexpr std::uint32_t kBusyKey = 105;
+  for (Duration offset{0}; offset < milliseconds(2500);
+       offset += milliseconds(100)) {
+    ReplacedCoordinator play(seconds(4));
+    play.world.check_epochs = true;
+    for (Duration done{0}; done < seconds(3) + offset;
+         done += milliseconds(20)) {
+      play.world.add_key_load(play.first, kBusyKey, 0.1);
+      play.world.run_for(milliseconds(20));
+    }
+    play.cut_off();
+    play.run_until_replaced();
+    ASSERT_TRUE(play.successor());
+    play.world.run_for(milliseconds(100));
+    play.world.drain_server(kUnreached);
+    play.world.run_for(milliseconds(1200));
+    play.world.restart_server(kUnreached);
+    play.world.run_for(kRecoveryTime);
+    EXPECT_EQ(play.first_violation(), "") << offset.count();
+  }
+}
+
+// Guards against trusting an epoch that a server has seen, but has forgotten
+// with its restart.
+TEST(ReplacedCoordinatorTest, GrantsToARestartedServerAreWaitedFor) {
+  for (Duration offset{0}; offset < milliseconds(2500);
+       offset += milliseconds(100)) {
+    ReplacedCoordinator play(seconds(10) + offset);
+    play.cut_off();
+    play.run_until_replaced();
+    ASSERT_TRUE(play.successor());
+    play.world.run_for(milliseconds(60));
+    play.cut_others_from_server();
+    play.world.restart_server(kUnreached);
+    play.world.run_for(milliseconds(100));
+    play.world.drain_server(kUnreached);
+    play.world.run_for(kRecoveryTime);
+    EXPECT_EQ(play.first_violation(), "") << offset.count();
+  }
+}
+
+}  // namespace
+}  // namespace eelgrasspin::fleet
