Property test of takeovers, with the four forms of the ownership rule

Change: tests/ownership_oracle.h judges requests begun at two holders, epochs, holds and work of two servers; tests/ownership_takeover_property_test.cc draws chains of takeovers, restarts, store and network faults, and shrinks what fails (OWNERSHIP_SEED, _SEEDS, _LOG, _SHRINK, _STRICT, _LATE, _WITHOUT).

--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -8,12 +8,14 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "eelgrasspin/result.h"
 #include "fleet/duration.h"
 #include "fleet/ownership.h"
 #include "fleet/reduce.h"
+#include "tests/ownership_oracle.h"
 
 /// Simulation of several daemons' reducers on virtual time, with a fake store
 /// and fake backend servers. Covers grants, the owner map and heartbeats; a
@@ -44,6 +46,7 @@
     Epoch highest_epoch;
   };
   std::map<std::uint32_t, Hold> holds;  ///< By checked key.
+  TimePoint link_healed_at;             ///< Its own, to all daemons.
 };
 
 struct FleetFaults {
@@ -54,6 +57,26 @@
   double heartbeat_lost = 0;
   Duration heartbeat_delay{0};   ///< Longest; heartbeats may overtake others.
   Duration map_answer_delay{0};  ///< Of the store's answers to reads of maps.
+  // Only in worlds with an oracle.
+  double order_delayed = 0;         ///< Share of orders under way for longer.
+  Duration longest_order_delay{0};  ///< From the sending to the arrival.
+  double answer_lost = 0;           ///< Share of orders done and not answered.
+  double answer_delayed = 0;  ///< Share of answers that take up to a second.
+  /// Share of answers that come once more, as the answer to the next order on
+  /// their connection.
+  double answer_copied = 0;
+  double long_work = 0;       ///< Share of requests that run for seconds.
+  Duration store_delay{0};    ///< Longest, of a call to the store and back.
+  bool resumed_last = false;  ///< Daemons notice a pause last.
+};
+
+/// How a connection from a daemon to a server process is left by its last
+/// order.
+struct OrderConnection {
+  std::uint64_t daemon = 0;  ///< Incarnation.
+  Incarnation server;
+  /// The answer that comes once more on it, if any.
+  std::optional<OrderResult> copy;
 };
 
 class FleetWorld {
@@ -122,6 +145,15 @@
   /// Time until a grant of the daemon arrives at the server. It is given up
   /// after its timeout.
   std::map<std::pair<std::size_t, std::size_t>, Duration> order_delays;
+  /// Pairs of a sender and a receiver of messages between daemons that are
+  /// lost.
+  std::set<std::pair<std::size_t, std::size_t>> cut_one_way;
+  /// Daemons whose reads, or writes, the store refuses.
+  std::set<std::size_t> refused_reads;
+  std::set<std::size_t> refused_writes;
+  /// Judges what happens at the servers. Orders then have connections, on which
+  /// they and their answers may be late, and releases wait for running work.
+  std::unique_ptr<OwnershipOracle> oracle;
   /// Adds a line to `violations` for a key that arrives at a server with an
   /// epoch that is not above all with which other servers had it.
   bool check_epochs = false;
@@ -137,6 +169,8 @@
   std::function<void(const GrantKeys&)> on_grant;
   std::function<void(const ReleaseKeys&)> on_release;
   std::function<void(std::size_t daemon, const LogEvent&)> on_log;
+  /// Called with what a server does, in worlds with an oracle.
+  std::function<void(std::size_t server, const std::string&)> on_server_event;
   /// Map writes that the store has carried out.
   std::size_t map_writes = 0;
   /// Heartbeats and batches sent so far, counted once per receiver.
@@ -191,18 +225,36 @@
     Daemon& slot = daemons_[daemon];
     if (!slot.frozen) return;
     slot.frozen = false;
+    slot.thawed_at = now_;
     if (!slot.state) return;
-    apply(daemon, Resumed{now_ - slot.frozen_at});
+    Resumed resumed{now_ - slot.frozen_at};
+    if (!faults.resumed_last) apply(daemon, resumed);
     auto deferred_events = std::move(slot.deferred_events);
     slot.deferred_events.clear();
     for (const Event& event : deferred_events) apply(daemon, event);
+    if (faults.resumed_last) apply(daemon, resumed);
+  }
+  /// Ends a cut of the link from a daemon to a server.
+  void heal_server_link(std::size_t daemon, std::size_t server) {
+    if (cut_from_servers.erase({daemon, server}) > 0)
+      link_healed_at_[{daemon, server}] = now_;
   }
   void add_key_load(std::size_t daemon, std::uint32_t key, double weight) {
     KeyLoadState& key_load = state(daemon).key_loads[kBoard];
     if (key_load.request_counts.empty()) key_load.decayed_at = now_;
     key_load.request_counts[key] += weight;
   }
+  /// The server's next process starts. The registry lists it later.
+  void restart_server_unnoticed(std::size_t index) {
+    servers_[index].entry.incarnation = Incarnation(++incarnations_);
+    servers_[index].entry.draining = false;
+    servers_[index].holds.clear();
+    servers_[index].up = true;
+    if (oracle) oracle->ended(index);
+    if (on_server_event) on_server_event(index, "restarts");
+  }
   void restart_server(std::size_t index) {
+    if (oracle) oracle->ended(index);
     servers_[index].entry.incarnation = Incarnation(++incarnations_);
     servers_[index].entry.draining = false;
     servers_[index].holds.clear();
@@ -217,6 +269,8 @@
   void end_server(std::size_t index, bool unlisted) {
     servers_[index].up = false;
     servers_[index].holds.clear();
+    if (oracle) oracle->ended(index);
+    if (on_server_event) on_server_event(index, "ends");
     if (unlisted) unlist_server(index);
   }
   void add_server(std::size_t index, const ServiceName& service = kBoard) {
@@ -270,6 +324,35 @@
     if (configuration_->version < configuration_version_) declare_board(true);
   }
 
+  /// Checks these keys only.
+  void set_oracle(const std::vector<std::uint32_t>& keys) {
+    probes_ = {keys.begin(), keys.end()};
+    oracle = std::make_unique<OwnershipOracle>(
+        std::vector<std::uint32_t>(probes_.begin(), probes_.end()));
+  }
+  /// Each daemon sends a request on each checked key to its owner.
+  void send_requests() {
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      if (!daemons_[i].state || daemons_[i].frozen) continue;
+      auto map = daemons_[i].state->maps.find(kBoard);
+      if (map == daemons_[i].state->maps.end() || !map->second.map) continue;
+      for (std::size_t key = 0; key < oracle->keys().size(); ++key)
+        send_request(i, *map->second.map, key);
+    }
+  }
+  /// Each daemon that reads the store learns what its watch would tell it.
+  void poll_store() {
+    for (std::size_t i = 0; i < daemons_.size(); ++i) {
+      if (!daemons_[i].state) continue;
+      if (!reads_from_store(i)) {
+        post(i, StoreFailed{"down"});
+        continue;
+      }
+      post(i, StoreAnswered());
+      post(i, listed_servers());
+    }
+  }
+
   /// Passes an event to the daemon if it runs; once it thaws, if it is frozen.
   void post(std::size_t daemon, const Event& event) {
     post(daemon, daemons_[daemon].incarnation, event);
@@ -357,6 +440,7 @@
     std::uint64_t incarnation = 0;
     bool frozen = false;
     TimePoint frozen_at;
+    TimePoint thawed_at;
     std::vector<Event> deferred_events;
   };
   struct ScheduledAction {
@@ -402,7 +486,11 @@
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
       if (daemons_[i].state && !daemons_[i].frozen) apply(i, Tick());
     }
-    check();
+    if (oracle) {
+      oracle->step(now_);
+    } else {
+      check();
+    }
   }
 
   void check() {
@@ -494,8 +582,9 @@
   }
 
   void deliver(std::size_t from, std::size_t to, const Event& event) {
-    bool cut =
-        cut_links.count({from, to}) > 0 || cut_links.count({to, from}) > 0;
+    bool cut = cut_links.count({from, to}) > 0 ||
+               cut_links.count({to, from}) > 0 ||
+               cut_one_way.count({from, to}) > 0;
     if (cut || !daemons_[to].state || draw(faults.heartbeat_lost)) return;
     std::uint64_t incarnation = daemons_[to].incarnation;
     // Worlds without delays draw the same numbers as before there were any.
@@ -521,6 +610,9 @@
   bool reaches_store(std::size_t daemon) const {
     return store_up && cut_from_store.count(daemon) == 0;
   }
+  bool reads_from_store(std::size_t daemon) const {
+    return reaches_store(daemon) && refused_reads.count(daemon) == 0;
+  }
 
   void write(std::size_t daemon, std::uint64_t incarnation,
              const WriteMap& request) {
@@ -532,6 +624,10 @@
       post(daemon, incarnation, StoreFailed{"down"});
       return end(WriteOutcome::kUnknown, Version());
     }
+    if (refused_writes.count(daemon) > 0) {
+      post(daemon, incarnation, StoreFailed{"refused"});
+      return end(WriteOutcome::kWriteRefused, Version());
+    }
     if (draw(faults.write_late)) {
       after(random_duration(milliseconds(500), seconds(6)),
             [this, request] { apply_write(request); });
@@ -549,10 +645,25 @@
     if (draw(faults.write_unanswered)) {
       return end(WriteOutcome::kUnknown, Version());
     }
+    if (faults.store_delay.count() > 0) {
+      Version written = revision_;
+      return after_store_delay([this, daemon, incarnation, request, written] {
+        post(daemon, incarnation, StoreAnswered());
+        post(daemon, incarnation,
+             MapWriteEnded{kBoard,
+                           request.number,
+                           WriteOutcome::kWritten,
+                           {era(), written}});
+      });
+    }
     post(daemon, incarnation, StoreAnswered());
     end(WriteOutcome::kWritten, revision_);
   }
 
+  void after_store_delay(std::function<void()> act) {
+    after(random_duration(milliseconds(1), faults.store_delay), std::move(act));
+  }
+
   void apply_write(const WriteMap& request) {
     if (request.expected != revision_) return;
     map_ = request.map;
@@ -569,7 +680,7 @@
 
   void read(std::size_t daemon, std::uint64_t incarnation,
             const ReadMap& request) {
-    if (!reaches_store(daemon))
+    if (!reads_from_store(daemon))
       return post(daemon, incarnation, StoreFailed{"down"});
     if (!map_) {
       answer_from_store(daemon, incarnation);
@@ -584,6 +695,7 @@
     };
     if (faults.map_answer_delay.count() > 0)
       return after(faults.map_answer_delay, answer);
+    if (faults.store_delay.count() > 0) return after_store_delay(answer);
     answer();
   }
 
@@ -691,6 +803,7 @@
   void send_grant(std::size_t daemon, std::uint64_t incarnation,
                   const GrantKeys& order) {
     if (on_grant) on_grant(order);
+    if (oracle) return deliver_grant(daemon, incarnation, order);
     FakeServer* server = server_at(order.address);
     auto unanswered = [this, daemon, incarnation, order] {
       post(daemon, incarnation,
@@ -758,6 +871,7 @@
   void send_release(std::size_t daemon, std::uint64_t incarnation,
                     const ReleaseKeys& order) {
     if (on_release) on_release(order);
+    if (oracle) return deliver_release(daemon, incarnation, order);
     FakeServer* server = server_at(order.address);
     if (server != nullptr && !reaches(daemon, *server)) {
       return after(milliseconds(500), [this, daemon, incarnation, order] {
@@ -795,6 +909,272 @@
     });
   }
 
+  // Orders in worlds with an oracle.
+
+  /// An order on its way to a server.
+  struct OrderOnWay {
+    std::size_t daemon = 0;
+    std::uint64_t incarnation = 0;  ///< Of the daemon.
+    std::uint64_t number = 0;
+    Endpoint address;
+    Duration timeout{0};
+    TimePoint sent_at;
+    TimePoint given_up_at;  ///< By its sender, unless that is frozen then.
+    bool kept_connection = false;
+    Incarnation process;  ///< The server's, at the end of the connection.
+    bool may_be_answered = true;
+    std::function<void(const OrderOnWay&, std::size_t server)> carry_out;
+  };
+
+  void end_order(const OrderOnWay& order, OrderResult result, Duration delay,
+                 const char* why, const std::string& handover = "") {
+    OrderEnded ended{order.number, result, handover, why, {}};
+    std::size_t daemon = order.daemon;
+    std::uint64_t incarnation = order.incarnation;
+    after(delay, [this, daemon, incarnation, ended] {
+      post(daemon, incarnation, ended);
+    });
+  }
+
+  /// The connection that the order is sent on: the last one that was used, if
+  /// any is left.
+  std::optional<OrderConnection> take_connection(std::size_t daemon,
+                                                 std::uint64_t incarnation,
+                                                 std::size_t server) {
+    auto& idle = connections_[{daemon, server}];
+    while (!idle.empty()) {
+      OrderConnection connection = idle.back();
+      idle.pop_back();
+      if (connection.daemon != incarnation) continue;
+      return connection;
+    }
+    return std::nullopt;
+  }
+
+  void start_order(OrderOnWay order, bool release) {
+    FakeServer* server = server_at(order.address);
+    if (server == nullptr) {
+      return end_order(order, OrderResult::kNotSent, order.timeout,
+                       "no server");
+    }
+    order.sent_at = now_;
+    order.given_up_at = now_ + order.timeout;
+    auto index = static_cast<std::size_t>(server - servers_.data());
+    auto connection = take_connection(order.daemon, order.incarnation, index);
+    order.process = server->entry.incarnation;
+    if (connection) {
+      order.kept_connection = true;
+      order.process = connection->server;
+      // A release's answer names a handover, so that only refusals of earlier
+      // grants pass for it.
+      if (connection->copy && reaches(order.daemon, *server) &&
+          (!release || *connection->copy != OrderResult::kDone)) {
+        order.may_be_answered = false;
+        end_order(order, *connection->copy, milliseconds(3), "copy");
+      }
+    }
+    Duration delay = milliseconds(2);
+    if (faults.order_delayed > 0 && draw(faults.order_delayed))
+      delay = random_duration(delay, faults.longest_order_delay);
+    bool lost = faults.grant_lost > 0 && draw(faults.grant_lost);
+    if (!lost) after(delay, [this, order] { arrive(order); });
+    if (order.may_be_answered && (lost || delay >= order.timeout)) {
+      end_order(order, OrderResult::kUnanswered, order.timeout, "no answer");
+    } else if (order.may_be_answered) {
+      watched_orders_.insert({order.daemon, order.incarnation, order.number});
+      after(order.timeout, [this, order] {
+        if (forget(order))
+          end_order(order, OrderResult::kUnanswered, Duration(0), "no answer");
+      });
+    }
+  }
+
+  /// Whether nothing has ended the order yet. It counts as ended from now on.
+  bool forget(const OrderOnWay& order) {
+    return watched_orders_.erase(
+               {order.daemon, order.incarnation, order.number}) > 0;
+  }
+
+  /// What a path has held up is sent again until the sender gives it up, which
+  /// one that is frozen does not.
+  void arrive(const OrderOnWay& order) {
+    FakeServer* server = server_at(order.address);
+    if (!reaches(order.daemon, *server)) {
+      Daemon& sender = daemons_[order.daemon];
+      bool frozen = sender.state && sender.frozen &&
+                    sender.incarnation == order.incarnation;
+      if (!order.kept_connection &&
+          now_ - order.sent_at <= config::kTickInterval) {
+        if (forget(order)) {
+          end_order(order, OrderResult::kNotSent, order.timeout, "no path");
+        }
+        return;
+      }
+      bool ended = !sender.state || sender.incarnation != order.incarnation;
+      if (!frozen && (ended || now_ >= order.given_up_at)) return;
+      return after(milliseconds(100), [this, order] { arrive(order); });
+    }
+    bool reset = !server->up || server->resets_connections ||
+                 server->entry.incarnation != order.process;
+    if (reset) {
+      if (!forget(order)) return;
+      OrderResult result = OrderResult::kUnanswered;
+      bool sent =
+          order.kept_connection || server->entry.incarnation != order.process;
+      if (!sent) {
+        result = server->readdressed ? OrderResult::kOtherServer
+                                     : OrderResult::kNotSent;
+      }
+      return end_order(order, result, milliseconds(2), "reset");
+    }
+    if (server->silent) return;
+    order.carry_out(order, static_cast<std::size_t>(server - servers_.data()));
+  }
+
+  /// The server answers; the connection is kept after a grant.
+  void answer_order(const OrderOnWay& order, std::size_t server,
+                    OrderResult result, Duration work, bool keeps_connection,
+                    const std::string& handover = "") {
+    Duration delay = work + milliseconds(2);
+    if (faults.answer_delayed > 0 && draw(faults.answer_delayed))
+      delay += random_duration(milliseconds(1), milliseconds(1000));
+    if (faults.answer_lost > 0 && draw(faults.answer_lost)) return;
+    Incarnation process = servers_[server].entry.incarnation;
+    std::optional<OrderResult> copy;
+    if (keeps_connection && faults.answer_copied > 0 &&
+        draw(faults.answer_copied)) {
+      copy = result;
+    }
+    after(delay, [this, order, server, process, result, keeps_connection, copy,
+                  handover] {
+      if (!reaches(order.daemon, servers_[server]) || !forget(order)) return;
+      if (keeps_connection) {
+        connections_[{order.daemon, server}].push_back(
+            {order.incarnation, process, copy});
+      }
+      end_order(order, result, Duration(0), "answered", handover);
+    });
+  }
+
+  GrantArrival arrival_of(const OrderOnWay& order, std::size_t server) const {
+    constexpr Duration kHealTime = milliseconds(300);
+    constexpr Duration kUsualDelay = milliseconds(50);
+    GrantArrival arrival{now_, now_ - order.sent_at > kUsualDelay, false};
+    const Daemon& sender = daemons_[order.daemon];
+    TimePoint healed =
+        std::max(sender.thawed_at, servers_[server].link_healed_at);
+    auto link = link_healed_at_.find({order.daemon, server});
+    if (link != link_healed_at_.end()) healed = std::max(healed, link->second);
+    arrival.after_heal = healed > TimePoint() && now_ - healed <= kHealTime;
+    return arrival;
+  }
+
+  void deliver_grant(std::size_t daemon, std::uint64_t incarnation,
+                     const GrantKeys& order) {
+    OrderOnWay on_way;
+    on_way.daemon = daemon;
+    on_way.incarnation = incarnation;
+    on_way.number = order.order;
+    on_way.address = order.address;
+    on_way.timeout = config::kGrantTimeout;
+    on_way.carry_out = [this, order](const OrderOnWay& arrived,
+                                     std::size_t index) {
+      FakeServer& there = servers_[index];
+      GrantArrival arrival = arrival_of(arrived, index);
+      if (faults.grant_unanswered > 0 && draw(faults.grant_unanswered)) {
+        Incarnation target = there.entry.incarnation;
+        arrival.held_up = true;
+        return after(random_duration(seconds(2), seconds(12)),
+                     [this, index, target, order, arrival] {
+                       FakeServer& then = servers_[index];
+                       if (then.up && then.entry.incarnation == target)
+                         take_grant(index, order, arrival);
+                     });
+      }
+      bool refused = fenced(there, order);
+      if (!refused) take_grant(index, order, arrival);
+      report_order(index, arrived, refused ? "refuses" : "takes", order.first,
+                   order.last, order.epoch);
+      answer_order(arrived, index,
+                   refused ? OrderResult::kFenced : OrderResult::kDone,
+                   Duration(0), true);
+    };
+    start_order(std::move(on_way), false);
+  }
+
+  void take_grant(std::size_t index, const GrantKeys& order,
+                  const GrantArrival& arrival) {
+    FakeServer& server = servers_[index];
+    TimePoint until = arrival.at + scaled(order.hold, 1 / kServerClockRate);
+    const std::vector<std::uint32_t>& keys = oracle->keys();
+    for (std::size_t i = 0; i < keys.size(); ++i) {
+      if (keys[i] < order.first.value || keys[i] > order.last.value) continue;
+      FakeServer::Hold& hold = server.holds[keys[i]];
+      if (hold.highest_epoch > order.epoch) continue;
+      hold.highest_epoch = order.epoch;
+      hold.until = std::max(hold.until, until);
+      if (until > now_)
+        oracle->granted(index, i, order.epoch, arrival, until, now_);
+    }
+  }
+
+  void deliver_release(std::size_t daemon, std::uint64_t incarnation,
+                       const ReleaseKeys& order) {
+    OrderOnWay on_way;
+    on_way.daemon = daemon;
+    on_way.incarnation = incarnation;
+    on_way.number = order.order;
+    on_way.address = order.address;
+    on_way.timeout = config::kReleaseTimeout;
+    on_way.carry_out = [this, order](const OrderOnWay& arrived,
+                                     std::size_t index) {
+      FakeServer& there = servers_[index];
+      TimePoint idle_at = now_ + milliseconds(3);
+      const std::vector<std::uint32_t>& keys = oracle->keys();
+      for (std::size_t i = 0; i < keys.size(); ++i) {
+        if (keys[i] < order.first.value || keys[i] > order.last.value) continue;
+        FakeServer::Hold& hold = there.holds[keys[i]];
+        hold.until = TimePoint();
+        hold.highest_epoch = std::max(hold.highest_epoch, order.epoch);
+        oracle->released(index, i);
+        idle_at = std::max(idle_at, oracle->work_end(index, i));
+      }
+      report_order(index, arrived, "releases", order.first, order.last,
+                   order.epoch);
+      answer_order(arrived, index, OrderResult::kDone, idle_at - now_, false,
+                   "warm");
+    };
+    start_order(std::move(on_way), true);
+  }
+
+  void report_order(std::size_t server, const OrderOnWay& order,
+                    const std::string& what, ShardKey first, ShardKey last,
+                    Epoch epoch) {
+    if (!on_server_event) return;
+    on_server_event(server, what + " " + std::to_string(first.value) + "-" +
+                                std::to_string(last.value) + " epoch " +
+                                std::to_string(epoch.value) + " from d" +
+                                std::to_string(order.daemon) + " sent " +
+                                std::to_string(to_ms(now_ - order.sent_at)) +
+                                " ms ago");
+  }
+
+  void send_request(std::size_t daemon, const OwnerMap& map, std::size_t key) {
+    std::uint32_t number = oracle->keys()[key];
+    const KeyRange* range = find_range(map, ShardKey(number));
+    if (range == nullptr || !range->previous_owners.empty()) return;
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+      const FakeServer& server = servers_[i];
+      if (server.entry.name != range->owner.name) continue;
+      if (!reaches(daemon, server) || !holds(server, number)) return;
+      TimePoint work_until = now_ + milliseconds(10);
+      if (faults.long_work > 0 && draw(faults.long_work))
+        work_until = now_ + random_duration(milliseconds(50), seconds(6));
+      oracle->began(i, key, work_until, now_);
+      return;
+    }
+  }
+
   void announce(std::size_t index) {
     each_daemon_with_store(ServerSeen{servers_[index].entry});
   }
@@ -862,6 +1242,13 @@
   Version quarantine_revision_;
   std::map<DaemonName, DaemonRecord> daemon_records_;
   StoreCopy copy_;
+  std::map<std::pair<std::size_t, std::size_t>, TimePoint> link_healed_at_;
+  /// Idle ones, by daemon and server.
+  std::map<std::pair<std::size_t, std::size_t>, std::vector<OrderConnection>>
+      connections_;
+  /// Orders without an end: daemon, its incarnation and the number.
+  std::set<std::tuple<std::size_t, std::uint64_t, std::uint64_t>>
+      watched_orders_;
   std::map<std::uint32_t, GrantedKey> granted_;
   std::multiset<ScheduledAction> scheduled_;
   std::uint64_t order_ = 0;
