Wait for earlier grants also of a server whose entry is gone

Cause: the longer wait counted only if the registry listed another process of the server. Change: it counts as well while the entry is removed or unknown. Price: only while a replaced coordinator is not known to have stopped.

--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -171,10 +171,10 @@
   auto server = state.servers.find(holder.name);
   for (const PossibleGrant& grant : possible->second) {
     if (!overlaps(range, grant)) continue;
-    bool restarted =
-        server != state.servers.end() &&
+    bool ended_or_restarted =
+        server == state.servers.end() || server->second.removed ||
         server->second.server.incarnation != grant.owner.incarnation;
-    end = std::max(end, restarted ? expiry(grant) : grant.until);
+    end = std::max(end, ended_or_restarted ? expiry(grant) : grant.until);
   }
   return end;
 }
