Give up the role if the map cannot be verified, and read it again soon

Found by the reviewer: a coordinator in doubt that cannot read its map sends no orders, but keeps the role and is heard, so that nobody takes over; and a failed read of the map was repeated after 3 s only, so that four failures ended the role although the store answers. Change: the role ends after 2.5 s of doubt; reads of an unconfirmed map are repeated each 500 ms.

--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -209,10 +209,15 @@
 
 void run_coordinator_role(State& state, const ServiceName& service,
                           MapState& map, TimePoint now, Effects& effects) {
-  if (map.must_verify) return;
+  if (map.must_verify) {
+    // Another daemon takes over from one that cannot read its map.
+    if (now - map.doubted_at >= config::kCoordinatorStoreTimeout)
+      end_coordinator_role(map, "unverified", effects);
+    return;
+  }
   if (now - map.confirmed_at >= config::kMapCheckInterval &&
       now >= map.next_read) {
-    map.next_read = now + config::kMapCheckInterval;
+    map.next_read = now + kMapReadInterval;
     effects.emplace_back(ReadMap{service, now});
   }
   if (!may_send_orders(map, now)) {
