Take a coordinator for stopped only if it states the map without the role

Change: its last heartbeat has to state this version of the map or a later one, and no role. Evidence: by reading; CoordinatorThatCannotReadItsMapIsReplaced still passes.

--- a/src/fleet/election.cc
+++ b/src/fleet/election.cc
@@ -112,8 +112,9 @@
   const Heartbeat& last = peer->second.heartbeat;
   // One that has not learned of the write that made it coordinator cannot read
   // it from the store any more. Otherwise it may have written the map since it
-  // sent its last heartbeat.
+  // sent its last heartbeat, unless that states this version of the map.
   bool has_stopped = !states_role(last, service) &&
+                     stated_position(last, service) >= map_state.position &&
                      now - map_state.adopted_at >= config::kDaemonTimeout;
   if (has_stopped ||
       (is_lost(state, map_state) && !states_role(last, service))) {
