--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -207,9 +207,9 @@
 }
 
 void FleetShell::apply(const fleet::Event& event) {
-  TimePoint began = boottime_now();
   // What has queued up during a pause may be handled before the tick.
-  if (began - last_tick_ > kSuspensionThreshold) detect_suspension();
+  if (boottime_now() - last_tick_ > kSuspensionThreshold) detect_suspension();
+  TimePoint began = boottime_now();
   fleet::Effects effects;
   guard("event", [&] { effects = fleet::reduce(state_, event, began); });
   for (const fleet::Effect& effect : effects)
