--- a/tests/key_orders_test.cc
+++ b/tests/key_orders_test.cc
@@ -164,7 +164,7 @@
 };
 
 /// A server that reads nothing, so that orders stay in their sender's kernel
-/// once its receive buffer is full. It answers when it is told to.
+/// once its receive buffer is full. The test has it answer.
 class UnreadingServer {
  public:
   explicit UnreadingServer(boost::asio::io_context& io) : acceptor_(io) {
--- a/tests/store_client_test.cc
+++ b/tests/store_client_test.cc
@@ -14,7 +14,7 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-/// A store that keeps the calls and answers when it is told to.
+/// A store that keeps each call until the test has it answered.
 class AnsweringStore {
  public:
   explicit AnsweringStore(boost::asio::io_context& io)
