Log which server a refusal names, and what is left of the retry budget

A 421 comes from a server without the key, or from another server that has the address now. The log told neither apart, nor whose budget a retry was spent from.

Decisions are unchanged. The stand-in names itself in its 421, as the users' servers do.

--- a/src/fleet/budget.cc
+++ b/src/fleet/budget.cc
@@ -20,7 +20,8 @@
   state.budgets[service].requests.push_back(now);
 }
 
-bool spend_retry(State& state, const ServiceName& service, TimePoint now) {
+RetryBudget retry_budget(State& state, const ServiceName& service,
+                         TimePoint now) {
   BudgetState& budget = state.budgets[service];
   TimePoint window_start = now - state.settings.retry_window;
   drop_old(budget.requests, window_start);
@@ -31,8 +32,13 @@
       kBudgetUseShare * (state.settings.retry_ratio *
                              static_cast<double>(budget.requests.size()) +
                          state.settings.retry_slack / daemons);
-  if (static_cast<double>(budget.retries.size()) + 1 > allowed) return false;
-  budget.retries.push_back(now);
+  return {budget.retries.size(), static_cast<std::size_t>(allowed)};
+}
+
+bool spend_retry(State& state, const ServiceName& service, TimePoint now) {
+  RetryBudget budget = retry_budget(state, service, now);
+  if (budget.spent >= budget.allowed) return false;
+  state.budgets[service].retries.push_back(now);
   return true;
 }
 
--- a/src/fleet/dispatch.cc
+++ b/src/fleet/dispatch.cc
@@ -228,12 +228,16 @@
                                    give_up_time(request) - now + kTimeoutGrace,
                                    request.route->repeatable, sent_before});
   if (request.sends > 1) {
+    RetryBudget budget = retry_budget(state, request.service, now);
     log_event(effects, "request_resent",
               {{"id", request.caller_request_id},
                {"fingerprint", text(request.fingerprint.value)},
                {"server", name.str()},
+               {"service", request.service.str()},
                {"sends", std::to_string(request.sends)},
-               {"left", text(time_left(request, now))}});
+               {"left", text(time_left(request, now))},
+               {"retries_spent", text(budget.spent)},
+               {"retries_allowed", text(budget.allowed)}});
   }
 }
 
--- a/src/fleet/event.h
+++ b/src/fleet/event.h
@@ -165,6 +165,8 @@
   /// nothing of the server.
   bool connections_exhausted = false;
   std::shared_ptr<const ServerAnswer> answer;
+  /// The server that has answered, if a refusal names it.
+  ServerName answered_by;
   std::string why;
   ServerNotice notice;
   bool reused_connection = false;  ///< It was not made for this attempt.
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -507,6 +507,19 @@
       AttemptResult::kAnswerLost);
 }
 
+TEST(PlatformRequests, RefusalsNameTheServerThatAnswers) {
+  auto answered_by = [](int status, io::HeaderFields headers) {
+    headers.emplace_back(kInstanceHeader, "i-2");
+    return HeaderFormat()
+        .classify({status, std::move(headers), "", false})
+        .answered_by;
+  };
+  EXPECT_EQ(answered_by(421, {{kNotRunHeader, "1"}}), ServerName("i-2"));
+  EXPECT_EQ(answered_by(421, {}), ServerName("i-2"));
+  EXPECT_EQ(answered_by(503, {{kNotRunHeader, "1"}}), ServerName("i-2"));
+  EXPECT_EQ(answered_by(200, {{kResponseStampHeader, "s"}}), ServerName());
+}
+
 TEST(PlatformRequests, ContradictoryRefusalsProveNothing) {
   using fleet::AttemptResult;
   HeaderFormat format;
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -492,8 +492,9 @@
   }
 
   /// States that the request did not run.
-  static void refuse(io::HttpExchange& exchange, int status) {
+  void refuse(io::HttpExchange& exchange, int status) {
     io::HeaderFields headers = {{kNotRunHeader, "1"}};
+    if (status == 421) headers.emplace_back(kInstanceHeader, name_);
     const std::string* id =
         io::find_header(exchange.request().headers, kRequestIdHeader);
     if (id != nullptr) headers.emplace_back(kRequestIdHeader, *id);
