Send nothing more to a server whose address another server has

Callers of a keyed service were refused for as long as the registry and the owner map named a server that had ended: each request went to its address, got 421 from the server of another service that has the address now, and went there again 120 ms later.

Cause: a 421 counted as one fault whoever had sent it. Only unkeyed requests avoided the address, for a second, on the daemon that had been refused. The class: an answer about an address taken for one about the server that used to be there.

A refusal that names another server now marks the addressed incarnation as displaced. It takes no requests and no keys until its entry shows another incarnation or address; heartbeats tell the other daemons, and the coordinator moves its keys. Of several servers listed at one address only the one that started last is used. What such a refusal says besides (limits, capacity, leaving) no longer counts for the addressed server.

--- a/src/codec/fleet_json.cc
+++ b/src/codec/fleet_json.cc
@@ -288,6 +288,10 @@
     for (const json::value& value : leaving->as_array())
       heartbeat.leaving_servers.push_back(server_incarnation_of(value));
   }
+  if (const json::value* servers = object.if_contains("displaced")) {
+    for (const json::value& value : servers->as_array())
+      heartbeat.displaced_servers.push_back(server_incarnation_of(value));
+  }
   if (const json::value* servers = object.if_contains("unreachable")) {
     for (const json::value& value : servers->as_array())
       heartbeat.unreachable_servers.push_back(server_incarnation_of(value));
@@ -421,6 +425,14 @@
 
 namespace {
 
+json::array server_incarnations_array(
+    const std::vector<fleet::ServerIncarnation>& servers) {
+  json::array array;
+  for (const fleet::ServerIncarnation& server : servers)
+    array.push_back(server_incarnation_array(server));
+  return array;
+}
+
 json::object heartbeat_object(const fleet::Heartbeat& heartbeat) {
   json::array terms;
   for (const auto& term : heartbeat.terms) {
@@ -445,17 +457,14 @@
     object["heats"] = key_load_reports_array(heartbeat);
   if (!heartbeat.limits.empty())
     object["limits"] = limits_array(heartbeat.limits);
-  if (!heartbeat.leaving_servers.empty()) {
-    json::array leaving;
-    for (const fleet::ServerIncarnation& server : heartbeat.leaving_servers)
-      leaving.push_back(server_incarnation_array(server));
-    object["leaving"] = std::move(leaving);
-  }
+  if (!heartbeat.leaving_servers.empty())
+    object["leaving"] = server_incarnations_array(heartbeat.leaving_servers);
+  if (!heartbeat.displaced_servers.empty())
+    object["displaced"] =
+        server_incarnations_array(heartbeat.displaced_servers);
   if (!heartbeat.unreachable_servers.empty()) {
-    json::array servers;
-    for (const fleet::ServerIncarnation& server : heartbeat.unreachable_servers)
-      servers.push_back(server_incarnation_array(server));
-    object["unreachable"] = std::move(servers);
+    object["unreachable"] =
+        server_incarnations_array(heartbeat.unreachable_servers);
   }
   if (!heartbeat.strikes.empty()) {
     json::array strikes;
--- a/src/fleet/attempts.cc
+++ b/src/fleet/attempts.cc
@@ -2,6 +2,7 @@
 
 #include "fleet/capacity_reports.h"
 #include "fleet/cold_servers.h"
+#include "fleet/displaced_servers.h"
 #include "fleet/learning.h"
 #include "fleet/log_event.h"
 #include "fleet/quarantine.h"
@@ -19,6 +20,15 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/// Whether a refusal shows that another server has the address now.
+bool is_of_other_server(const RequestState& request,
+                        const AttemptEnded& ended) {
+  bool refused = ended.result == AttemptResult::kNotRun ||
+                 ended.result == AttemptResult::kWrongOwner;
+  return refused && !ended.answered_by.empty() &&
+         ended.answered_by != request.server;
+}
+
 /// Records what the end of an attempt shows of how much the server takes.
 void record_capacity(State& state, const RequestState& request,
                      const AttemptEnded& ended, TimePoint now,
@@ -49,6 +59,20 @@
   log_concurrency(server, now, effects);
 }
 
+/// Applies what the answer says of the server that the request was for.
+void record_statements(State& state, const RequestState& request,
+                       const AttemptEnded& ended, TimePoint now,
+                       Effects& effects) {
+  on_server_notice(state, server_of(request), ended.notice, now, effects);
+  on_limit_notice(state, server_of(request), ended, request.sent_at, now,
+                  effects);
+  record_capacity(state, request, ended, now, effects);
+  if (ended.result == AttemptResult::kAnswered ||
+      ended.result == AttemptResult::kNotRun) {
+    on_server_alive(state, server_of(request), request.sent_at);
+  }
+}
+
 /// Sends the request again if it has attempts left, else refuses it.
 void try_again(State& state, RequestState& request, std::string_view reason,
                TimePoint now, Effects& effects) {
@@ -96,16 +120,14 @@
   auto server = state.servers.find(request.server);
   if (server != state.servers.end()) {
     record_outcome(server->second, false, now);
-    if (ended.result == AttemptResult::kWrongOwner && !request.key) {
-      // Another server has the address now.
+    if (ended.result == AttemptResult::kWrongOwner && !request.key)
       server->second.blocked_until = now + seconds(1);
-    }
   }
   if (request.key) request.not_before = now + config::kOwnerRetryDelay;
-  try_again(state, request,
-            ended.result == AttemptResult::kWrongOwner ? "wrong_owner"
-                                                       : "server_refused",
-            now, effects);
+  std::string_view reason = "server_refused";
+  if (ended.result == AttemptResult::kWrongOwner) reason = "wrong_owner";
+  if (is_of_other_server(request, ended)) reason = "other_server";
+  try_again(state, request, reason, now, effects);
 }
 
 void on_not_sent(State& state, RequestState& request, const AttemptEnded& ended,
@@ -179,13 +201,10 @@
   if (found == state.requests.end()) return;
   RequestState& request = found->second;
   end_attempt(state, request);
-  on_server_notice(state, server_of(request), ended.notice, now, effects);
-  on_limit_notice(state, server_of(request), ended, request.sent_at, now,
-                  effects);
-  record_capacity(state, request, ended, now, effects);
-  if (ended.result == AttemptResult::kAnswered ||
-      ended.result == AttemptResult::kNotRun) {
-    on_server_alive(state, server_of(request), request.sent_at);
+  if (is_of_other_server(request, ended)) {
+    on_displaced(state, server_of(request), now, effects);
+  } else {
+    record_statements(state, request, ended, now, effects);
   }
   if (ended.skipped_responses > 0) {
     log_event(effects, "responses_skipped",
--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -339,6 +339,12 @@
 /// Time for which heartbeats repeat that a server is leaving.
 inline constexpr Duration kLeavingReportTime = seconds(2);
 
+// Servers whose address another server has.
+/// Time for which heartbeats repeat that a server has been displaced.
+inline constexpr Duration kDisplacedReportTime = seconds(2);
+/// Maximum number of such servers in one heartbeat; the newest are reported.
+inline constexpr std::size_t kMaxDisplacedReports = 64;
+
 // Servers that have just started.
 /// Time after a refused connection in which a server may have started again
 /// without the registry showing it: servers register within a second, and the
--- a/src/fleet/model.h
+++ b/src/fleet/model.h
@@ -243,6 +243,9 @@
   /// Servers that have announced that they are leaving, within the last
   /// kLeavingReportTime.
   std::vector<ServerIncarnation> leaving_servers;
+  /// Servers whose address has been found to belong to another server within
+  /// the last kDisplacedReportTime.
+  std::vector<ServerIncarnation> displaced_servers;
   /// Servers that refused or did not accept a connection of this daemon within
   /// the last kRestartReportTime, and may therefore have started again.
   std::vector<ServerIncarnation> unreachable_servers;
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -5,6 +5,7 @@
 
 #include "fleet/capacity_reports.h"
 #include "fleet/cold_servers.h"
+#include "fleet/displaced_servers.h"
 #include "fleet/loads.h"
 #include "fleet/log_event.h"
 #include "fleet/ownership.h"
@@ -151,6 +152,7 @@
   }
   on_strikes(state, heartbeat.strikes, now);
   on_leaving_reports(state, heartbeat.leaving_servers, now, effects);
+  on_displaced_reports(state, heartbeat.displaced_servers, now, effects);
   on_unreachable_reports(state, heartbeat.unreachable_servers, now);
   on_terms(state, peer.heartbeat, now, effects);
   return true;
@@ -177,6 +179,7 @@
   heartbeat.loads = own_loads(state, other_region);
   heartbeat.strikes = announced_strikes(state, now);
   heartbeat.leaving_servers = recent_leaving_reports(state, now);
+  heartbeat.displaced_servers = recent_displaced_reports(state, now);
   heartbeat.unreachable_servers = recent_unreachable_reports(state, now);
   if (!other_region) {
     heartbeat.view = own_view(state, now);
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fleet/cold_servers.h"
+#include "fleet/displaced_servers.h"
 #include "fleet/log_event.h"
 #include "fleet/peers.h"
 #include "fleet/quarantine.h"
@@ -37,7 +38,8 @@
   ServerState& entry = found->second;
   bool restarted = !added && entry.server.incarnation != server.incarnation;
   bool was_leaving = entry.leaving;
-  bool must_index = added || entry.removed ||
+  bool readdressed = entry.server.address != server.address;
+  bool must_index = added || restarted || readdressed || entry.removed ||
                     entry.server.service != server.service ||
                     entry.server.zone != server.zone;
   if (restarted) {
@@ -52,6 +54,7 @@
     entry.body_bytes = body_bytes;
   }
   if (added || restarted) entry.joined_at = now;
+  if (readdressed) entry.displaced = false;
   entry.server = server;
   entry.doubtful_entry.reset();
   entry.read_at = now;
@@ -112,6 +115,7 @@
 void index_servers(State& state) {
   state.by_service.clear();
   state.by_distance.clear();
+  mark_shared_addresses(state);
   for (const auto& [name, server] : state.servers) {
     if (server.removed) continue;
     state.by_service[server.server.service].push_back(name);
@@ -244,7 +248,7 @@
 
 bool accepts_work(const ServerState& server) {
   return !server.leaving && !server.removed && !server.announced_leaving &&
-         !server.evacuated;
+         !server.displaced && !server.shares_address && !server.evacuated;
 }
 
 ServerIncarnation incarnation_of(const Server& server) {
--- a/src/fleet/requests.cc
+++ b/src/fleet/requests.cc
@@ -6,6 +6,7 @@
 #include "fleet/body_room.h"
 #include "fleet/budget.h"
 #include "fleet/cold_servers.h"
+#include "fleet/displaced_servers.h"
 #include "fleet/duration.h"
 #include "fleet/learning.h"
 #include "fleet/log_event.h"
@@ -150,6 +151,7 @@
   decay_key_loads(state, now);
   expire_strikes(state, now);
   expire_leaving_reports(state, now);
+  expire_displaced_reports(state, now);
   expire_unreachable_reports(state, now);
   tick_limits(state, now, effects);
   std::vector<RequestId> due;
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -65,6 +65,11 @@
   TimePoint blocked_until;
   /// This incarnation has announced in an answer that it is leaving.
   bool announced_leaving = false;
+  /// An answer has shown that another server has the address of this
+  /// incarnation, which has therefore ended.
+  bool displaced = false;
+  /// The registry lists a server that has started later at the same address.
+  bool shares_address = false;
   bool evacuated = false;  ///< An evacuation of its zone is ordered.
   ColdState cold;
   /// The server is sent no request until then, because of its Retry-After.
@@ -130,6 +135,9 @@
   /// Servers that announced that they are leaving, and when this daemon learned
   /// of it; oldest first.
   std::deque<std::pair<TimePoint, ServerIncarnation>> leaving_reports;
+  /// Servers whose address another server has, and when this daemon learned of
+  /// it; oldest first.
+  std::deque<std::pair<TimePoint, ServerIncarnation>> displaced_reports;
   /// Servers that have refused a connection of this daemon; oldest first.
   std::deque<std::pair<TimePoint, ServerIncarnation>> unreachable_reports;
 };
--- a/src/fleet/zone_relay.cc
+++ b/src/fleet/zone_relay.cc
@@ -81,7 +81,9 @@
     Heartbeat heartbeat = peer.heartbeat;
     heartbeat.loads.clear();
     heartbeat.limits.clear();
-    heartbeat.strikes.clear();  // The relay announces them itself.
+    // The relay announces these itself.
+    heartbeat.strikes.clear();
+    heartbeat.displaced_servers.clear();
     heartbeat.daemon = known->second;
     heartbeat.has_full_record = with_full_records;
     heartbeat.key_load_reports.clear();
--- a/tests/fleet_messages_test.cc
+++ b/tests/fleet_messages_test.cc
@@ -159,12 +159,13 @@
   }
 }
 
-TEST(FleetMessages, EvacuationsAndUnreachableServersAreKept) {
+TEST(FleetMessages, EvacuationsAndReportedServersAreKept) {
   fleet::Heartbeat heartbeat;
   heartbeat.daemon.name = DaemonName("d");
   heartbeat.view = fleet::Heartbeat::View{
       fleet::at(3), fleet::at(4), seconds(1), fleet::at(5), {ZoneName("z")}};
   heartbeat.unreachable_servers = {{ServerName("s"), Incarnation(7)}};
+  heartbeat.displaced_servers = {{ServerName("t"), Incarnation(8)}};
   auto read = decode_datagram(encode_heartbeat(heartbeat));
   ASSERT_TRUE(ok(read));
   const auto& got = std::get<fleet::Heartbeat>(value(read));
@@ -172,6 +173,7 @@
   EXPECT_EQ(got.view->evacuations, fleet::at(5));
   EXPECT_EQ(got.view->evacuated_zones, heartbeat.view->evacuated_zones);
   EXPECT_EQ(got.unreachable_servers, heartbeat.unreachable_servers);
+  EXPECT_EQ(got.displaced_servers, heartbeat.displaced_servers);
 }
 
 TEST(FleetMessages, StrikesKeepTheirAge) {
