Let retries at reused addresses count for every service

During an outage of the store the registry goes on listing servers that have ended, and a retry for one service may arrive at any other that has the address now. The first request that a daemon sends to such an address is refused there and marks it; until then, and where no answer comes at all, retries of one service still add to those of another, up to both budgets at once.

Cause: a retry counted for the service that it was for, not for the one where it may arrive. The class: a budget that is kept by the sender's label of a thing instead of its effect.

A retry that is sent during an outage counts for all services until its own server has answered it, and is sent only if every service has room for it. A retry that another server has refused counts for all services. With a current registry services do not limit each other.

--- a/src/fleet/attempts.cc
+++ b/src/fleet/attempts.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "fleet/budget.h"
 #include "fleet/capacity_reports.h"
 #include "fleet/cold_servers.h"
 #include "fleet/displaced_servers.h"
@@ -29,6 +30,16 @@
          ended.answered_by != request.server;
 }
 
+/// Whether the attempt has reached the server that it was for, or none.
+bool reached_no_other_server(const RequestState& request,
+                             const AttemptEnded& ended) {
+  bool stated_by_it =
+      ended.result == AttemptResult::kNotRun && ended.answered_by.empty();
+  return stated_by_it || ended.result == AttemptResult::kAnswered ||
+         ended.result == AttemptResult::kNotSent ||
+         ended.answered_by == request.server;
+}
+
 /// Records what the end of an attempt shows of how much the server takes.
 void record_capacity(State& state, const RequestState& request,
                      const AttemptEnded& ended, TimePoint now,
@@ -203,7 +214,11 @@
   end_attempt(state, request);
   if (is_of_other_server(request, ended)) {
     on_displaced(state, server_of(request), now, effects);
+    if (request.sends > 1)
+      record_stray_retry(state, request.service, ended.id, now);
   } else {
+    if (reached_no_other_server(request, ended))
+      confirm_retry(state, request.service, ended.id);
     record_statements(state, request, ended, now, effects);
   }
   if (ended.skipped_responses > 0) {
--- a/src/fleet/budget.cc
+++ b/src/fleet/budget.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "fleet/registry.h"
+
 namespace eelgrasspin::fleet {
 namespace {
 
@@ -14,6 +16,31 @@
   while (!times.empty() && times.front() < window_start) times.pop_front();
 }
 
+void drop_outdated(BudgetState& budget, TimePoint window_start) {
+  drop_old(budget.requests, window_start);
+  drop_old(budget.retries, window_start);
+  std::erase_if(budget.unconfirmed, [window_start](const auto& retry) {
+    return retry.second < window_start;
+  });
+}
+
+/// Retries for other services that may have arrived at this one.
+std::size_t unconfirmed_of_others(State& state, const ServiceName& service,
+                                  TimePoint now) {
+  std::size_t count = 0;
+  for (auto& [other, budget] : state.budgets) {
+    if (other == service) continue;
+    drop_outdated(budget, now - state.settings.retry_window);
+    count += budget.unconfirmed.size();
+  }
+  return count;
+}
+
+bool has_retry_left(State& state, const ServiceName& service, TimePoint now) {
+  RetryBudget budget = retry_budget(state, service, now);
+  return budget.spent < budget.allowed;
+}
+
 }  // namespace
 
 void count_request(State& state, const ServiceName& service, TimePoint now) {
@@ -23,23 +50,43 @@
 RetryBudget retry_budget(State& state, const ServiceName& service,
                          TimePoint now) {
   BudgetState& budget = state.budgets[service];
-  TimePoint window_start = now - state.settings.retry_window;
-  drop_old(budget.requests, window_start);
-  drop_old(budget.retries, window_start);
+  drop_outdated(budget, now - state.settings.retry_window);
   auto daemons = static_cast<double>(
       std::max<std::size_t>(1, state.fleet.daemon_records.size()));
   double allowed =
       kBudgetUseShare * (state.settings.retry_ratio *
                              static_cast<double>(budget.requests.size()) +
                          state.settings.retry_slack / daemons);
-  return {budget.retries.size(), static_cast<std::size_t>(allowed)};
+  return {budget.retries.size() + unconfirmed_of_others(state, service, now),
+          static_cast<std::size_t>(allowed)};
 }
 
-bool spend_retry(State& state, const ServiceName& service, TimePoint now) {
-  RetryBudget budget = retry_budget(state, service, now);
-  if (budget.spent >= budget.allowed) return false;
-  state.budgets[service].retries.push_back(now);
+bool spend_retry(State& state, const ServiceName& service, AttemptId attempt,
+                 TimePoint now) {
+  if (!has_retry_left(state, service, now)) return false;
+  // While the registry may list servers that have ended, the retry may arrive
+  // at any other service, whose requests do not pay for it.
+  bool may_stray = in_or_after_outage(state, now);
+  if (may_stray) {
+    for (const auto& [other, declared] : state.configuration->services) {
+      if (!has_retry_left(state, other, now)) return false;
+    }
+  }
+  BudgetState& budget = state.budgets[service];
+  budget.retries.push_back(now);
+  if (may_stray) budget.unconfirmed[attempt] = now;
   return true;
 }
 
+void record_stray_retry(State& state, const ServiceName& service,
+                        AttemptId attempt, TimePoint now) {
+  state.budgets[service].unconfirmed.try_emplace(attempt, now);
+}
+
+void confirm_retry(State& state, const ServiceName& service,
+                   AttemptId attempt) {
+  auto budget = state.budgets.find(service);
+  if (budget != state.budgets.end()) budget->second.unconfirmed.erase(attempt);
+}
+
 }  // namespace eelgrasspin::fleet
--- a/src/fleet/budget.h
+++ b/src/fleet/budget.h
@@ -8,16 +8,26 @@
 namespace eelgrasspin::fleet {
 
 void count_request(State& state, const ServiceName& service, TimePoint now);
-/// Retries of this daemon for the service within Settings::retry_window, and
-/// how many it may have spent.
+
+/// Retries of this daemon within Settings::retry_window that count for the
+/// service, and how many may.
 struct RetryBudget {
   std::size_t spent = 0;
   std::size_t allowed = 0;
 };
 RetryBudget retry_budget(State& state, const ServiceName& service,
                          TimePoint now);
-/// Takes one retry from the budget; false if none is left.
-bool spend_retry(State& state, const ServiceName& service, TimePoint now);
+/// Takes one retry from the budget for an attempt that is about to be sent;
+/// false if none is left. While the registry may be outdated, another service
+/// may have the server's address: the attempt then counts for all services
+/// until confirm_retry().
+bool spend_retry(State& state, const ServiceName& service, AttemptId attempt,
+                 TimePoint now);
+/// Takes note that the attempt has reached its own server, or none.
+void confirm_retry(State& state, const ServiceName& service, AttemptId attempt);
+/// Takes note that the attempt has reached another server.
+void record_stray_retry(State& state, const ServiceName& service,
+                        AttemptId attempt, TimePoint now);
 
 }  // namespace eelgrasspin::fleet
 
--- a/src/fleet/dispatch.cc
+++ b/src/fleet/dispatch.cc
@@ -321,7 +321,8 @@
   }
   auto target = choose_server(state, request, now);
   if (const auto* name = std::get_if<ServerName>(&target)) {
-    if (request.sends > 0 && !spend_retry(state, request.service, now)) {
+    if (request.sends > 0 && !spend_retry(state, request.service,
+                                          AttemptId(state.next_attempt), now)) {
       return refuse(state, request, "retry_budget_spent", now, effects);
     }
     return send(state, request, *name, now, effects);
@@ -384,7 +385,10 @@
   if (!due) return;
   auto target = choose_server(state, request, now);
   const auto* name = std::get_if<ServerName>(&target);
-  if (name == nullptr || !spend_retry(state, request.service, now)) return;
+  if (name == nullptr || !spend_retry(state, request.service,
+                                      AttemptId(state.next_attempt), now)) {
+    return;
+  }
   effects.emplace_back(CancelAttempt{request.attempt});
   auto server = state.servers.find(request.server);
   if (server != state.servers.end()) record_outcome(server->second, false, now);
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -410,6 +410,9 @@
 struct BudgetState {
   std::deque<TimePoint> requests;
   std::deque<TimePoint> retries;
+  /// Those of the retries that may have arrived at a server of another service,
+  /// and when they were sent.
+  std::map<AttemptId, TimePoint> unconfirmed;
 };
 
 /// Measurements over all servers of a service.
