Give a daemon that has just started no share of the retry slack

Callers saw nothing; a service that rejected most requests got more retries than it allows (BUDGET) if its routers were killed, or stopped and started in turn, meanwhile.

Cause: the retries of the last 10 s are known to the process that sent them. The next one began with the whole share of the slack again, and divided it by the few daemons that it knew. The class: a bound over time kept in state that ends before the time does.

RestartedDaemonDoesNotSpendTheSlackOnceMore fails on the code before. The fixture of FleetRequests is of a daemon that has been up for a window, as its tests are not about starts.

--- a/src/fleet/budget.cc
+++ b/src/fleet/budget.cc
@@ -41,6 +41,15 @@
   return budget.spent < budget.allowed;
 }
 
+/// This daemon's share of the slack. For one window after its start it has
+/// none: the process before may have spent it, and not all daemons are known.
+double slack_share(const State& state, TimePoint now) {
+  if (now - state.started < state.settings.retry_window) return 0;
+  auto daemons = static_cast<double>(
+      std::max<std::size_t>(1, state.fleet.daemon_records.size()));
+  return state.settings.retry_slack / daemons;
+}
+
 }  // namespace
 
 void count_request(State& state, const ServiceName& service, TimePoint now) {
@@ -51,12 +60,10 @@
                          TimePoint now) {
   BudgetState& budget = state.budgets[service];
   drop_outdated(budget, now - state.settings.retry_window);
-  auto daemons = static_cast<double>(
-      std::max<std::size_t>(1, state.fleet.daemon_records.size()));
   double allowed =
       kBudgetUseShare * (state.settings.retry_ratio *
                              static_cast<double>(budget.requests.size()) +
-                         state.settings.retry_slack / daemons);
+                         slack_share(state, now));
   return {budget.retries.size() + unconfirmed_of_others(state, service, now),
           static_cast<std::size_t>(allowed)};
 }
--- a/tests/fleet_requests.h
+++ b/tests/fleet_requests.h
@@ -20,7 +20,8 @@
                      RegionName("r"), Endpoint("10.0.0.1:7")};
     settings.regions = {{ZoneName("z"), RegionName("r")},
                         {ZoneName("far"), RegionName("other")}};
-    state_ = make_state(settings, now_);
+    // It has been up for long enough to have its share of the retry slack.
+    state_ = make_state(settings, now_ - settings.retry_window);
   }
 
   Route route(const char* prefix, const ServiceName& service, bool repeatable) {
--- a/tests/retry_budget_test.cc
+++ b/tests/retry_budget_test.cc
@@ -50,6 +50,25 @@
   EXPECT_EQ(spent(kBooking), 0u);
 }
 
+TEST_F(RetryBudgets, RestartedDaemonDoesNotSpendTheSlackOnceMore) {
+  for (int i = 0; i < 4; ++i) EXPECT_TRUE(spend(kDesk));
+  state_ = make_state(state_.settings, now_);
+  configure();
+  EXPECT_FALSE(spend(kDesk));
+  now_ += state_.settings.retry_window;
+  EXPECT_TRUE(spend(kDesk));
+}
+
+TEST_F(RetryBudgets, RestartedDaemonRetriesAShareOfItsRequests) {
+  state_.settings.retry_ratio = 0.5;
+  state_ = make_state(state_.settings, now_);
+  configure();
+  for (int i = 0; i < 5; ++i) count_request(state_, kDesk, now_);
+  EXPECT_TRUE(spend(kDesk));
+  EXPECT_TRUE(spend(kDesk));
+  EXPECT_FALSE(spend(kDesk));
+}
+
 TEST_F(RetryBudgets, WithACurrentRegistryServicesDoNotLimitEachOther) {
   for (int i = 0; i < 4; ++i) EXPECT_TRUE(spend(kBooking));
   EXPECT_FALSE(spend(kBooking));
