Limits of size: hold as soon as the daemon has its configuration

CallerGetsAnswersThatEndInOrder once: the first upload of 16 MB after /ready had answered 200 got "413 body limit exceeded", logged in the millisecond of the tick that logged ready. 413 is not retried, so a proper request was lost.

Cause: limits reached the server of callers' requests at the next tick only, up to 20 ms after the configuration was adopted, while /ready looks at the state itself. Until then the default of 4 MB held. Also found: a connection took its limits when its parser was made, so a request on an open connection was held to those of its last request; and a daemon without a configuration refused a body over 4 MB for good, other requests with 503.

Change: limits are set after each event, before its effects and thus before /ready can be asked. A request is held to those in force when its first byte is read. One over defaults (no configuration yet), or over limits that have changed since, gets 503: it may be within the next ones. The budgets that bound memory are as before. A request refused so has not run, as for any refusal of an incomplete request.

The test's wait is right and stays.

--- a/src/io/fleet_shell.cc
+++ b/src/io/fleet_shell.cc
@@ -134,8 +134,14 @@
                                   {"reason", "left_before_read"},
                                   {"age", fleet::text(request.age)}}});
   };
-  options.make_refusal = [this](int status, const std::string& why,
+  options.make_refusal = [this](int status, std::string why,
                                 const HttpRequest& received) {
+    // Without a configuration the limits are defaults, which it may raise.
+    bool over_limit = status == kBodyTooLarge || status == kHeaderTooLarge;
+    if (over_limit && !limits_configuration_) {
+      status = kUnavailable;
+      why = "no_configuration";
+    }
     std::string id = format_.caller_request_id(received);
     on_log_event(fleet::LogEvent{"request_rejected",
                                  {{"id", id},
@@ -212,6 +218,7 @@
   TimePoint began = boottime_now();
   fleet::Effects effects;
   guard("event", [&] { effects = fleet::reduce(state_, event, began); });
+  apply_caller_limits();
   for (const fleet::Effect& effect : effects)
     guard("effect", [&] { execute(effect); });
   record_event(loop_stats_, fleet::event_name(event), boottime_now() - began);
@@ -576,7 +583,6 @@
   });
   detect_suspension();
   apply(fleet::Tick());
-  apply_caller_limits();
   TimePoint now = boottime_now();
   if (now - last_cleanup_ >= kCleanupInterval) {
     last_cleanup_ = now;
--- a/src/io/http_server.cc
+++ b/src/io/http_server.cc
@@ -33,6 +33,8 @@
 using boost::system::error_code;
 
 namespace {
+constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
 constexpr std::size_t kReadChunkBytes = 16 * 1024;
 /// Of a body with a known length. Reads of 16 KB, together with a heap trimmed
 /// to 128 KB, took a quarter more processor time for a body of 60 KB.
@@ -117,6 +119,7 @@
   TimePoint reduced_until;
   std::set<std::shared_ptr<Connection>> connections;
   std::size_t open_exchanges = 0;
+  std::uint64_t limits_number = 0;  ///< Grows when a limit of size changes.
   bool closing = false;
   bool accepting = true;  ///< Connections, and further requests on them.
 };
@@ -160,9 +163,9 @@
 }
 
 int refusal_status(error_code failure) {
-  if (failure == http::error::header_limit) return 431;
-  if (failure == http::error::body_limit) return 413;
-  return 400;
+  if (failure == http::error::header_limit) return kHeaderTooLarge;
+  if (failure == http::error::body_limit) return kBodyTooLarge;
+  return kBadRequest;
 }
 
 std::size_t text_bytes(const HeaderFields& headers) {
@@ -446,13 +449,23 @@
     count_received(0);
     head_bytes_ = 0;
     parser_.emplace();
-    parser_->header_limit(
-        static_cast<std::uint32_t>(server_->options.max_header_bytes));
-    parser_->body_limit(server_->options.max_body_bytes);
     parser_->eager(true);
     head_checked_ = false;
   }
 
+  /// Called with the first byte of a request: the connection may have waited
+  /// for it since before the limits were set.
+  void start_receiving() {
+    receiving_ = true;
+    const HttpServerOptions& options = server_->options;
+    parser_->header_limit(static_cast<std::uint32_t>(options.max_header_bytes));
+    parser_->body_limit(options.max_body_bytes);
+    limits_number_ = server_->limits_number;
+    own_share_.set(kConnectionBytes);
+    start_progress(progress_, steady_now());
+    start_timer(options.receive_timeout);
+  }
+
   void expect_request() {
     start_parser();
     if (buffer_.size() > 0 && may_parse()) return parse();
@@ -544,12 +557,7 @@
   }
 
   void parse_input() {
-    if (!receiving_) {
-      receiving_ = true;
-      own_share_.set(kConnectionBytes);
-      start_progress(progress_, steady_now());
-      start_timer(server_->options.receive_timeout);
-    }
+    if (!receiving_) start_receiving();
     error_code failed;
     std::size_t consumed = parser_->put(buffer_.data(), failed);
     buffer_.consume(consumed);
@@ -564,17 +572,26 @@
       if (!parser_->is_done()) send_continue();
     }
     if (failed == http::error::need_more) failed = {};
-    if (failed) return refuse(refusal_status(failed), failed.message());
+    if (failed) return refuse_by_limits(failed);
     count_received(received_memory());
     server_->free_request_bytes();
     if (!receiving_) return;  // Refused.
     if (parser_->is_done()) return dispatch();
     if (buffer_.size() >= server_->options.max_header_bytes + kReadChunkBytes) {
-      return refuse(431, "header too large");
+      return refuse_by_limits(http::error::header_limit);
     }
     read_more();
   }
 
+  /// A request that is over limits which no longer hold may be sent again.
+  void refuse_by_limits(error_code failed) {
+    int status = refusal_status(failed);
+    bool over_limit = status != kBadRequest;
+    if (over_limit && limits_number_ != server_->limits_number)
+      return refuse(kUnavailable, "limits have changed");
+    refuse(status, failed.message());
+  }
+
   void send_continue() {
     if (!beast::iequals(parser_->get()[http::field::expect], "100-continue") ||
         !exchanges_.empty()) {
@@ -743,6 +760,7 @@
   std::optional<http::request_parser<http::string_body>> parser_;
   std::deque<std::shared_ptr<Exchange>> exchanges_;
   Endpoint remote_;
+  std::uint64_t limits_number_ = 0;  ///< Of the request being received.
   bool receiving_ = false;
   bool reading_ = false;
   bool writing_ = false;
@@ -965,6 +983,10 @@
 void HttpServer::set_limits(std::size_t max_header_bytes,
                             std::size_t max_body_bytes,
                             Duration receive_timeout, Duration idle_timeout) {
+  if (max_header_bytes != impl_->options.max_header_bytes ||
+      max_body_bytes != impl_->options.max_body_bytes) {
+    ++impl_->limits_number;
+  }
   impl_->options.max_header_bytes = max_header_bytes;
   impl_->options.max_body_bytes = max_body_bytes;
   impl_->options.receive_timeout = receive_timeout;
--- a/src/io/http_server.h
+++ b/src/io/http_server.h
@@ -69,6 +69,10 @@
 /// up to 360 KB.
 inline constexpr std::size_t kSmallRequestBytes = 512 * 1024;
 
+/// Statuses of requests that are over a limit of size.
+inline constexpr int kBodyTooLarge = 413;
+inline constexpr int kHeaderTooLarge = 431;
+
 /// HTTP/1.1 server on one port. Not thread safe; runs on one io_context.
 class HttpServer {
  public:
@@ -90,7 +94,9 @@
   /// Each connection accepts at most one more request and is closed after its
   /// last response.
   void close_after_answers();
-  /// Sets the limits for later requests and connections.
+  /// Sets the limits for requests whose first byte is read later, also on open
+  /// connections. A request that is being received and is over an earlier limit
+  /// is refused with 503: it may be within the new one.
   void set_limits(std::size_t max_header_bytes, std::size_t max_body_bytes,
                   Duration receive_timeout, Duration idle_timeout);
   /// Closes connections without a request in progress.
--- a/tests/caller_port_test.cc
+++ b/tests/caller_port_test.cc
@@ -202,5 +202,94 @@
   EXPECT_EQ(handled, 0);
 }
 
+/// A server with small limits that answers 200, and clients on open connections
+/// to it.
+class ServerLimits : public ::testing::Test {
+ protected:
+  ServerLimits()
+      : server_(io_, small_limits(),
+                [](const std::shared_ptr<HttpExchange>& exchange) {
+                  exchange->answer({200, {}, {}});
+                }) {
+    EXPECT_FALSE(server_.listen(kAnyPort));
+    client_.emplace(io_, server_.bound_endpoint());
+    EXPECT_TRUE(run_until(io_, [&] { return server_.connections() == 1; }));
+  }
+
+  static HttpServerOptions small_limits() {
+    HttpServerOptions options;
+    options.max_header_bytes = 1000;
+    options.max_body_bytes = 100;
+    return options;
+  }
+  void set_limits(std::size_t header_bytes, std::size_t body_bytes) {
+    server_.set_limits(header_bytes, body_bytes, seconds(10), seconds(75));
+  }
+  static std::string post(std::size_t body_bytes, std::size_t field_bytes) {
+    return "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX: " +
+           std::string(field_bytes, 'f') +
+           "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+           std::string(body_bytes, 'b');
+  }
+  std::string status_of_last() {
+    std::string received;
+    EXPECT_TRUE(client_->read_to_end(received)) << received;
+    return received.substr(0, 13);
+  }
+
+  boost::asio::io_context io_;
+  HttpServer server_;
+  std::optional<RawClient> client_;
+};
+
+TEST_F(ServerLimits, HigherOnesHoldOnAConnectionThatHasHadNoRequest) {
+  set_limits(1000, 500);
+  client_->send(post(500, 1));
+  EXPECT_EQ(status_of_last(), "HTTP/1.1 200 ");
+}
+
+TEST_F(ServerLimits, HigherOnesHoldOnAKeptConnection) {
+  client_->send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  std::string received;
+  EXPECT_TRUE(client_->read_until(received, "\r\n\r\n"));
+  set_limits(50'000, 100);
+  client_->send(post(100, 40'000));
+  EXPECT_EQ(status_of_last(), "HTTP/1.1 200 ");
+}
+
+TEST_F(ServerLimits, LowerOnesHoldOnAnOpenConnection) {
+  set_limits(1000, 50);
+  client_->send(post(51, 1));
+  EXPECT_EQ(status_of_last(), "HTTP/1.1 413 ");
+}
+
+class ServerLimitsDuringARequest : public ServerLimits {
+ protected:
+  void send_head() {
+    client_->send(
+        "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n40\r\n" +
+        std::string(0x40, 'b') + "\r\n");
+    run_for(io_, std::chrono::milliseconds(20));
+  }
+  void send_rest() {
+    client_->send("80\r\n" + std::string(0x80, 'b') + "\r\n0\r\n\r\n");
+  }
+};
+
+TEST_F(ServerLimitsDuringARequest, EarlierOnesRefuseItNotForGood) {
+  send_head();
+  set_limits(1000, 500);
+  send_rest();
+  EXPECT_EQ(status_of_last(), "HTTP/1.1 503 ");
+}
+
+TEST_F(ServerLimitsDuringARequest, SameOnesRefuseItForGood) {
+  send_head();
+  set_limits(1000, 100);
+  send_rest();
+  EXPECT_EQ(status_of_last(), "HTTP/1.1 413 ");
+}
+
 }  // namespace
 }  // namespace eelgrasspin::io
--- a/tests/fleet_shell_test.cc
+++ b/tests/fleet_shell_test.cc
@@ -28,6 +28,8 @@
     R"("match":{"prefix":"/r/"},"action":{"service":"book","timeoutS":1,)"
     R"("attempts":1}}]}],"clusters":[{"name":"book","maxConns":100}]})";
 
+constexpr std::size_t kUploadBytes = config::kMaxBodyBytes + 1'000'000;
+
 /// Throws where a field says so.
 class FaultyFormat : public HeaderFormat {
  public:
@@ -139,6 +141,23 @@
                    "",
                    {}});
   }
+  static std::string configuration_for_uploads() {
+    json::object configuration = json::parse(kConfiguration).as_object();
+    configuration["limits"].as_object()["bodyBytes"] = kUploadBytes;
+    return json::serialize(configuration);
+  }
+  /// Sends a body that is over the default limit.
+  int upload(std::string* body = nullptr) {
+    return status(addresses_.callers,
+                  {"POST",
+                   "/r/x",
+                   {{"Host", "h"},
+                    {kRequestIdHeader, "id" + std::to_string(++last_id_)},
+                    {kDeadlineMsHeader, "2000"}},
+                   std::string(kUploadBytes, 'u'),
+                   {}},
+                  body);
+  }
   std::string metrics() {
     std::string body;
     status(addresses_.metrics, {"GET", "/metrics", {}, "", {}}, &body);
@@ -180,6 +199,28 @@
   EXPECT_EQ(request("/r/x"), 200);
 }
 
+/// Guards against a final refusal by default limits.
+TEST_F(FleetShellTest, UploadBeforeTheFirstConfigurationMayBeSentAgain) {
+  store_.remove(kConfigKind, kActiveConfigName);
+  start();
+  std::string why;
+  EXPECT_EQ(upload(&why), 503);
+  EXPECT_EQ(why, "no_configuration\n");
+  store_.put(kConfigKind, kActiveConfigName, configuration_for_uploads());
+  EXPECT_TRUE(run_until(io_, [&] {
+    int got = upload();
+    EXPECT_TRUE(got == 503 || got == 200) << got;
+    return got != 503;
+  }));
+}
+
+/// Guards against readiness before the limits of the configuration hold.
+TEST_F(FleetShellTest, ReadyDaemonTakesUploadsOfTheConfiguredSize) {
+  store_.put(kConfigKind, kActiveConfigName, configuration_for_uploads());
+  start_and_wait();
+  EXPECT_EQ(upload(), 200);
+}
+
 TEST_F(FleetShellTest, MalformedDatagramsDoNotStopThoseThatFollow) {
   start_and_wait();
   boost::asio::ip::udp::socket socket(io_, boost::asio::ip::udp::v4());
