Ownership: an isolated coordinator sends no orders

Two coordinators are isolated one after the other.

Change: a coordinator that has heard no other daemon for 0.7 s, and whose map the store has not confirmed in that time, sends no orders until it hears one of the two. Others replace it after 1 s of silence at the earliest, so its orders have stopped before a successor moves keys. From 0.55 s of silence it asks the store twice a second, so that a coordinator that reaches the store does not stop. It keeps its role. Fleets without other daemons, or whose others have said that they stop, and outages of the store alone are as before.

Three tests guard that orders go on: an only daemon without the store, a coordinator that hears only the store, and one that hears daemons again while no store answers.

Price: a coordinator that is cut off alone serves servers that only it reaches for 0.7 s and the rest of their grants, in place of 15 s and that rest; a successor still waits for the 15 s. The last daemon does the same if the store fails within 60 s after all others have crashed. Reasoned, not measured. Not covered: a coordinator cut off together with another daemon, and an order that is on its way when the orders stop and arrives after the server's restart.

--- a/src/fleet/config.h
+++ b/src/fleet/config.h
@@ -157,6 +157,13 @@
 /// Time without an answer of the store after which a coordinator stops renewing
 /// grants.
 inline constexpr Duration kMaxRenewalWithoutStore = seconds(15);
+/// Time without a heartbeat of any daemon, and without an answer of the store
+/// about the map, after which a coordinator sends no orders: less than
+/// kDaemonTimeout, by the time that an order is on its way.
+inline constexpr Duration kIsolationTimeout = milliseconds(700);
+/// Time without a heartbeat after which it asks the store: more than an
+/// interval between regions.
+inline constexpr Duration kIsolationCheckDelay = milliseconds(550);
 
 // Placement of keys.
 /// Interval of placement rounds, which compare the load of the servers.
--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -7,6 +7,7 @@
 #include "fleet/leases_p.h"
 #include "fleet/log_event.h"
 #include "fleet/ownership.h"
+#include "fleet/peers.h"
 #include "fleet/registry.h"
 #include "fleet/server_notices.h"
 
@@ -643,14 +644,23 @@
   map.doubted_at = now;
 }
 
-bool may_send_orders(const MapState& map, TimePoint now) {
-  return !map.must_verify &&
-         now - map.confirmed_at < config::kMaxRenewalWithoutStore;
+bool is_isolated(const State& state, const MapState& map, TimePoint now) {
+  return now - map.confirmed_at >= config::kIsolationTimeout &&
+         hears_no_daemon(state, config::kIsolationTimeout, now);
+}
+
+bool may_renew_without_store(const MapState& map, TimePoint now) {
+  return now - map.confirmed_at < config::kMaxRenewalWithoutStore;
+}
+
+bool may_send_orders(const State& state, const MapState& map, TimePoint now) {
+  return !map.must_verify && may_renew_without_store(map, now) &&
+         !is_isolated(state, map, now);
 }
 
 void send_due_orders(State& state, const ServiceName& service, MapState& map,
                      TimePoint now, Effects& effects) {
-  if (!may_send_orders(map, now)) return;
+  if (!may_send_orders(state, map, now)) return;
   CoordinatorRole& coordinator_role = *map.coordinator_role;
   prune(state, coordinator_role, now);
   if (coordinator_role.recall) send_recalls(state, service, map, now, effects);
@@ -728,7 +738,7 @@
   } else if (order.release && ended.result == OrderResult::kOtherServer) {
     lease->released[order.server] = ReleaseProof::kAddressReused;
   }
-  if (!may_send_orders(map, now)) {
+  if (!may_send_orders(state, map, now)) {
     set_due(*map.coordinator_role, order.first, *lease, now);
   } else {
     visit_range(state, order.service, map, order.first, *lease, now, effects);
--- a/src/fleet/leases.h
+++ b/src/fleet/leases.h
@@ -11,10 +11,15 @@
 void update_leases(MapState& map);
 /// Another daemon may have replaced this one as the coordinator.
 void doubt_map(MapState& map, TimePoint now);
+/// Whether the coordinator hears neither daemons nor the store, so that another
+/// may replace it unnoticed. A server that has started again since it released
+/// its keys to that one would take its orders.
+bool is_isolated(const State& state, const MapState& map, TimePoint now);
 /// A coordinator whose map the store has not confirmed for long may have been
 /// replaced. Answers of the store about anything else do not show that it has
 /// not been.
-bool may_send_orders(const MapState& map, TimePoint now);
+bool may_renew_without_store(const MapState& map, TimePoint now);
+bool may_send_orders(const State& state, const MapState& map, TimePoint now);
 /// Sends the orders that are due, as far as allow_orders_of_tick() allows; none
 /// unless may_send_orders().
 void send_due_orders(State& state, const ServiceName& service, MapState& map,
--- a/src/fleet/ownership.cc
+++ b/src/fleet/ownership.cc
@@ -207,6 +207,18 @@
   return store_unreachable_for(state, now) < config::kCoordinatorStoreTimeout;
 }
 
+/// Logs when orders stop because of isolation, and when they go on.
+void check_isolation(const State& state, const ServiceName& service,
+                     MapState& map, TimePoint now, Effects& effects) {
+  bool isolated = is_isolated(state, map, now);
+  if (map.coordinator_role->isolated == isolated) return;
+  map.coordinator_role->isolated = isolated;
+  log_event(effects, isolated ? "orders_paused" : "orders_resumed",
+            {{"service", service.str()},
+             {"term", text(map.map->term.value)},
+             {"confirmed", text(now - map.confirmed_at)}});
+}
+
 void run_coordinator_role(State& state, const ServiceName& service,
                           MapState& map, TimePoint now, Effects& effects) {
   if (map.must_verify) {
@@ -215,15 +227,19 @@
       end_coordinator_role(map, "unverified", effects);
     return;
   }
-  if (now - map.confirmed_at >= config::kMapCheckInterval &&
-      now >= map.next_read) {
+  Duration check_interval =
+      hears_no_daemon(state, config::kIsolationCheckDelay, now)
+          ? kMapReadInterval
+          : config::kMapCheckInterval;
+  if (now - map.confirmed_at >= check_interval && now >= map.next_read) {
     map.next_read = now + kMapReadInterval;
     effects.emplace_back(ReadMap{service, now});
   }
-  if (!may_send_orders(map, now)) {
+  if (!may_renew_without_store(map, now)) {
     doubt_map(map, now);
     return end_coordinator_role(map, "store_silent", effects);
   }
+  check_isolation(state, service, map, now, effects);
   allow_orders_of_tick(state, *map.coordinator_role);
   send_due_orders(state, service, map, now, effects);
   if (map.pending_write || now < map.next_write ||
--- a/src/fleet/peers.cc
+++ b/src/fleet/peers.cc
@@ -263,6 +263,15 @@
   return direct ? limit : limit + config::kRelayedTimeoutExtension;
 }
 
+bool hears_no_daemon(const State& state, Duration duration, TimePoint now) {
+  bool others_work = false;
+  for (const auto& [name, peer] : state.fleet.peers) {
+    if (now - peer.received_at < duration) return false;
+    others_work = others_work || !peer.heartbeat.stopping;
+  }
+  return others_work;
+}
+
 Duration store_unreachable_for(const State& state, TimePoint now) {
   if (state.store_has_answered &&
       state.store_answered_at >= state.store_failed_at) {
--- a/src/fleet/peers.h
+++ b/src/fleet/peers.h
@@ -29,6 +29,9 @@
 bool is_alive(const State& state, const DaemonName& daemon, TimePoint now);
 /// Time without a heartbeat after which the daemon is not considered alive.
 Duration daemon_timeout(const State& state, const DaemonName& daemon);
+/// Whether other daemons are known that may have taken over a role, and none of
+/// them has been heard for this time.
+bool hears_no_daemon(const State& state, Duration duration, TimePoint now);
 /// Time since the last answer of the store if the last call to it failed,
 /// else 0.
 Duration store_unreachable_for(const State& state, TimePoint now);
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -239,6 +239,7 @@
   /// by the region of its server.
   std::map<RegionName, TimePoint> prompt_answers;
   std::uint64_t order_limit = 0;  ///< No order of this number is sent yet.
+  bool isolated = false;          ///< May not send orders because of that.
   TimePoint pruned_at;            ///< When outdated entries were last dropped.
   std::map<ServerIncarnation, OrderHealth> health;
   /// Coordinators of earlier terms that are not known to have stopped sending
--- a/tests/replaced_coordinator_test.cc
+++ b/tests/replaced_coordinator_test.cc
@@ -51,6 +51,15 @@
     for (int i = 0; i < 500 && !successor(); ++i)
       world.run_for(milliseconds(20));
   }
+  /// Cuts the coordinator off from the store, all daemons and all servers but
+  /// one.
+  void cut_off_alone() {
+    companion = first;
+    cut_off();
+    for (std::size_t i = 0; i < world.servers().size(); ++i) {
+      if (i != kUnreached) world.cut_from_servers.insert({first, i});
+    }
+  }
   MapState& map_of_first() { return world.state(first).maps[kBoard]; }
   std::string first_violation() const {
     return world.violations.empty() ? "" : world.violations.front();
@@ -212,5 +221,85 @@
   }
 }
 
+// Guards against renewals at a restarted server by a coordinator that no server
+// and no daemon can tell of its successor.
+TEST(ReplacedCoordinatorTest, IsolatedOneSendsNothingOnceItMayBeReplaced) {
+  for (Duration offset{0}; offset < milliseconds(2500);
+       offset += milliseconds(100)) {
+    ReplacedCoordinator play(seconds(10) + offset);
+    play.cut_off_alone();
+    play.run_until_replaced();
+    ASSERT_TRUE(play.successor());
+    play.world.run_for(milliseconds(100));
+    play.world.drain_server(kUnreached);
+    play.world.run_for(milliseconds(1200));
+    play.world.restart_server(kUnreached);
+    play.world.run_for(kRecoveryTime);
+    EXPECT_EQ(play.first_violation(), "") << offset.count();
+  }
+}
+
+// Guards against a pause of the orders that outlasts the isolation, while no
+// daemon reaches the store.
+TEST(ReplacedCoordinatorTest, OneThatHearsDaemonsAgainSendsOrders) {
+  ReplacedCoordinator play;
+  auto sends_orders = [&] {
+    return may_send_orders(play.world.state(play.first), play.map_of_first(),
+                           play.world.now());
+  };
+  play.world.stop_store();
+  play.companion = play.first;
+  play.cut_off();
+  play.world.run_for(seconds(2));
+  EXPECT_FALSE(sends_orders());
+  play.world.cut_links.clear();
+  play.world.run_for(milliseconds(300));
+  for (Duration done{0}; done < seconds(6); done += milliseconds(20)) {
+    play.world.run_for(milliseconds(20));
+    EXPECT_TRUE(sends_orders()) << done.count();
+    EXPECT_TRUE(play.world.all_held()) << done.count();
+  }
+  EXPECT_EQ(play.first_violation(), "");
+}
+
+// Guards against keys without an owner because the only daemon hears no other.
+TEST(ReplacedCoordinatorTest, OnlyDaemonRenewsWithoutTheStore) {
+  for (bool other_has_stopped : {false, true}) {
+    FleetWorld world(other_has_stopped ? 2 : 1, 4, 32);
+    world.run_for(seconds(10));
+    std::size_t first = world.coordinator().value();
+    if (other_has_stopped) {
+      world.post(1 - first, StopOrdered());
+      world.run_for(milliseconds(200));
+      world.kill(1 - first);
+    }
+    world.stop_store();
+    Duration outage = config::kMaxRenewalWithoutStore -
+                      config::kMapCheckInterval - milliseconds(500);
+    for (Duration done{0}; done < outage; done += milliseconds(20)) {
+      world.run_for(milliseconds(20));
+      EXPECT_TRUE(world.all_held()) << done.count();
+    }
+    EXPECT_TRUE(may_send_orders(world.state(first),
+                                world.state(first).maps[kBoard], world.now()));
+  }
+}
+
+// Guards against orders that stop because the only other daemon has ended,
+// while the store still answers.
+TEST(ReplacedCoordinatorTest, OneThatHearsOnlyTheStoreSendsOrders) {
+  FleetWorld world(2, 4, 33);
+  world.run_for(seconds(10));
+  std::size_t first = world.coordinator().value();
+  world.kill(1 - first);
+  for (Duration done{0}; done < seconds(20); done += milliseconds(20)) {
+    world.run_for(milliseconds(20));
+    EXPECT_TRUE(may_send_orders(world.state(first),
+                                world.state(first).maps[kBoard], world.now()))
+        << done.count();
+    EXPECT_TRUE(world.all_held()) << done.count();
+  }
+}
+
 }  // namespace
 }  // namespace eelgrasspin::fleet
