Limit stray retries only where another server may have the address

Callers of every service lost all retries during an outage of the store as soon as one service had spent its budget on this daemon, or had few requests there: its rounded share is 0 from 49 daemons on, and in the first window after a start.

A retry can stray only if its server has not answered this daemon within the time after which addresses are given away (reuseAfterS, 2 s); only those need room at all services, and a service without requests has room for one. An entry that has turned out to be wrong, or whose service is not configured, no longer takes an address from a server that started earlier.

Tests of each in retry_budget_test and displaced_servers_test.

--- a/src/fleet/attempts.cc
+++ b/src/fleet/attempts.cc
@@ -30,14 +30,31 @@
          ended.answered_by != request.server;
 }
 
+/// Whether the server that the attempt was for has answered. A server that is
+/// not the one named in a request refuses it with its own name; other refusals
+/// name none.
+bool is_of_its_server(const RequestState& request, const AttemptEnded& ended) {
+  return ended.result == AttemptResult::kAnswered ||
+         (ended.result == AttemptResult::kNotRun &&
+          ended.answered_by.empty()) ||
+         ended.answered_by == request.server;
+}
+
 /// Whether the attempt has reached the server that it was for, or none.
 bool reached_no_other_server(const RequestState& request,
                              const AttemptEnded& ended) {
-  bool stated_by_it =
-      ended.result == AttemptResult::kNotRun && ended.answered_by.empty();
-  return stated_by_it || ended.result == AttemptResult::kAnswered ||
-         ended.result == AttemptResult::kNotSent ||
-         ended.answered_by == request.server;
+  return ended.result == AttemptResult::kNotSent ||
+         is_of_its_server(request, ended);
+}
+
+void record_alive(State& state, const RequestState& request) {
+  auto found = state.servers.find(request.server);
+  if (found == state.servers.end() ||
+      found->second.server.incarnation != request.server_incarnation) {
+    return;
+  }
+  TimePoint& alive_at = found->second.alive_at;
+  alive_at = std::max(alive_at, request.sent_at);
 }
 
 /// Records what the end of an attempt shows of how much the server takes.
@@ -219,6 +236,7 @@
   } else {
     if (reached_no_other_server(request, ended))
       confirm_retry(state, request.service, ended.id);
+    if (is_of_its_server(request, ended)) record_alive(state, request);
     record_statements(state, request, ended, now, effects);
   }
   if (ended.skipped_responses > 0) {
--- a/src/fleet/budget.cc
+++ b/src/fleet/budget.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "fleet/registry.h"
-
 namespace eelgrasspin::fleet {
 namespace {
 
@@ -36,18 +34,34 @@
   return count;
 }
 
-bool has_retry_left(State& state, const ServiceName& service, TimePoint now) {
-  RetryBudget budget = retry_budget(state, service, now);
-  return budget.spent < budget.allowed;
+double full_slack_share(const State& state) {
+  auto daemons = static_cast<double>(
+      std::max<std::size_t>(1, state.fleet.daemon_records.size()));
+  return state.settings.retry_slack / daemons;
 }
 
 /// This daemon's share of the slack. For one window after its start it has
 /// none: the process before may have spent it, and not all daemons are known.
 double slack_share(const State& state, TimePoint now) {
-  if (now - state.started < state.settings.retry_window) return 0;
-  auto daemons = static_cast<double>(
-      std::max<std::size_t>(1, state.fleet.daemon_records.size()));
-  return state.settings.retry_slack / daemons;
+  bool just_started = now - state.started < state.settings.retry_window;
+  return just_started ? 0 : full_slack_share(state);
+}
+
+double allowed_retries(const State& state, const BudgetState& budget,
+                       double slack) {
+  return kBudgetUseShare * (state.settings.retry_ratio *
+                                static_cast<double>(budget.requests.size()) +
+                            slack);
+}
+
+/// Whether a retry for another service may be sent that may arrive at this one.
+/// A service without requests has room for one.
+bool has_room_for_stray(State& state, const ServiceName& service,
+                        TimePoint now) {
+  std::size_t spent = retry_budget(state, service, now).spent;
+  double allowed =
+      allowed_retries(state, state.budgets[service], full_slack_share(state));
+  return static_cast<double>(spent) < std::max(1.0, allowed);
 }
 
 }  // namespace
@@ -60,23 +74,24 @@
                          TimePoint now) {
   BudgetState& budget = state.budgets[service];
   drop_outdated(budget, now - state.settings.retry_window);
-  double allowed =
-      kBudgetUseShare * (state.settings.retry_ratio *
-                             static_cast<double>(budget.requests.size()) +
-                         slack_share(state, now));
+  double allowed = allowed_retries(state, budget, slack_share(state, now));
   return {budget.retries.size() + unconfirmed_of_others(state, service, now),
           static_cast<std::size_t>(allowed)};
 }
 
+bool has_retry_left(State& state, const ServiceName& service, TimePoint now) {
+  RetryBudget budget = retry_budget(state, service, now);
+  return budget.spent < budget.allowed;
+}
+
 bool spend_retry(State& state, const ServiceName& service, AttemptId attempt,
-                 TimePoint now) {
+                 bool may_stray, TimePoint now) {
   if (!has_retry_left(state, service, now)) return false;
-  // While the registry may list servers that have ended, the retry may arrive
-  // at any other service, whose requests do not pay for it.
-  bool may_stray = in_or_after_outage(state, now);
+  // It may arrive at any other service, whose requests do not pay for it.
   if (may_stray) {
     for (const auto& [other, declared] : state.configuration->services) {
-      if (!has_retry_left(state, other, now)) return false;
+      if (other != service && !has_room_for_stray(state, other, now))
+        return false;
     }
   }
   BudgetState& budget = state.budgets[service];
--- a/src/fleet/budget.h
+++ b/src/fleet/budget.h
@@ -18,12 +18,12 @@
 };
 RetryBudget retry_budget(State& state, const ServiceName& service,
                          TimePoint now);
-/// Takes one retry from the budget for an attempt that is about to be sent;
-/// false if none is left. While the registry may be outdated, another service
-/// may have the server's address: the attempt then counts for all services
-/// until confirm_retry().
+bool has_retry_left(State& state, const ServiceName& service, TimePoint now);
+/// Takes one retry from the budget for the attempt that is sent next; false if
+/// none is left. `may_stray`: another server may have the address, so that the
+/// attempt counts for all services until confirm_retry().
 bool spend_retry(State& state, const ServiceName& service, AttemptId attempt,
-                 TimePoint now);
+                 bool may_stray, TimePoint now);
 /// Takes note that the attempt has reached its own server, or none.
 void confirm_retry(State& state, const ServiceName& service, AttemptId attempt);
 /// Takes note that the attempt has reached another server.
--- a/src/fleet/displaced_servers.cc
+++ b/src/fleet/displaced_servers.cc
@@ -4,6 +4,7 @@
 #include <unordered_map>
 
 #include "fleet/log_event.h"
+#include "fleet/registry.h"
 
 namespace eelgrasspin::fleet {
 namespace {
@@ -15,6 +16,7 @@
   ServerState& entry = found->second;
   if (entry.server.incarnation != server.incarnation || entry.displaced) return;
   entry.displaced = true;
+  mark_shared_addresses(state);
   state.fleet.displaced_reports.emplace_back(now, server);
   log_event(effects, "server",
             {{"server", server.name.str()},
@@ -24,6 +26,13 @@
              {"reason", std::string(source)}});
 }
 
+/// Whether the entry shows that the server has its address. One that has turned
+/// out to be wrong, or that names no service of the configuration, does not.
+bool claims_address(const State& state, const ServerState& server) {
+  return !server.removed && !server.displaced && state.configuration &&
+         state.configuration->services.count(server.server.service) > 0;
+}
+
 }  // namespace
 
 void on_displaced(State& state, const ServerIncarnation& server, TimePoint now,
@@ -59,17 +68,25 @@
   }
 }
 
+bool may_be_displaced(const State& state, const ServerState& server,
+                      TimePoint now) {
+  const Settings& settings = state.settings;
+  return in_or_after_outage(state, now) &&
+         now + settings.max_delivery_delay >=
+             server.alive_at + settings.address_reuse_delay;
+}
+
 void mark_shared_addresses(State& state) {
   std::unordered_map<Endpoint, Incarnation> last_started;
   for (const auto& [name, server] : state.servers) {
-    if (server.removed) continue;
+    if (!claims_address(state, server)) continue;
     Incarnation& last = last_started[server.server.address];
     last = std::max(last, server.server.incarnation);
   }
   for (auto& [name, server] : state.servers) {
+    auto last = last_started.find(server.server.address);
     server.shares_address =
-        !server.removed &&
-        server.server.incarnation < last_started.at(server.server.address);
+        last != last_started.end() && server.server.incarnation < last->second;
   }
 }
 
--- a/src/fleet/displaced_servers.h
+++ b/src/fleet/displaced_servers.h
@@ -23,6 +23,12 @@
                                                         TimePoint now);
 void expire_displaced_reports(State& state, TimePoint now);
 
+/// Whether another server may have the address although nothing has shown it
+/// yet: the registry may be outdated, and this daemon has not heard from the
+/// server since its address could be given to another one.
+bool may_be_displaced(const State& state, const ServerState& server,
+                      TimePoint now);
+
 /// Marks the listed servers whose address another one has that started later.
 void mark_shared_addresses(State& state);
 
--- a/src/fleet/settings.h
+++ b/src/fleet/settings.h
@@ -30,6 +30,9 @@
   /// that share, also for all daemons together.
   std::uint32_t retry_slack = 60;
   Duration retry_window = seconds(10);
+  /// Time from the end of a server after which its address may be given to
+  /// another one.
+  Duration address_reuse_delay = seconds(2);
   /// Interval at which a server's entry in the registry is renewed.
   Duration registry_check_in = seconds(1);
   /// Time from an operator's order to evacuate a zone until its servers must be
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -65,6 +65,8 @@
   TimePoint blocked_until;
   /// This incarnation has announced in an answer that it is leaving.
   bool announced_leaving = false;
+  /// When the last request was sent that it has answered.
+  TimePoint alive_at;
   /// An answer has shown that another server has the address of this
   /// incarnation, which has therefore ended.
   bool displaced = false;
--- a/src/fleet/store_view.cc
+++ b/src/fleet/store_view.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "fleet/displaced_servers.h"
 #include "fleet/evacuations.h"
 #include "fleet/log_event.h"
 #include "fleet/peers.h"
@@ -103,6 +104,7 @@
   }
   state.configuration = seen.configuration;
   index_regions(state);
+  mark_shared_addresses(state);
   log_event(effects, "config_adopted",
             {{"version", text(next.version)},
              {"revision", text(seen.revision.value)},
--- a/tests/displaced_servers_test.cc
+++ b/tests/displaced_servers_test.cc
@@ -113,5 +113,25 @@
   EXPECT_EQ(sends_[1].server, ServerName("s1"));
 }
 
+TEST_F(DisplacedServers, EntryThatTurnsOutWrongGivesTheAddressBack) {
+  configure();
+  list("s1", kDesk, "10.1.0.1:1", 5);
+  list("s2", kBooking, "10.1.0.1:1", 9);
+  request(1, "/once/x");
+  ASSERT_EQ(sends_.size(), 1u);
+  refuse_by("s1");
+  request(2, "/safe/x");
+  ASSERT_EQ(sends_.size(), 2u);
+  EXPECT_EQ(sends_[1].server, ServerName("s1"));
+}
+
+TEST_F(DisplacedServers, EntryOfAnUnknownServiceTakesNoAddress) {
+  configure();
+  list("s1", kDesk, "10.1.0.1:1", 5);
+  list("s2", ServiceName("unknown"), "10.1.0.1:1", 9);
+  request(1, "/safe/x");
+  EXPECT_EQ(sends_.size(), 1u);
+}
+
 }  // namespace
 }  // namespace eelgrasspin::fleet
--- a/tests/retry_budget_test.cc
+++ b/tests/retry_budget_test.cc
@@ -21,7 +21,8 @@
     apply(StoreFailed{"refused"});
   }
   bool spend(const ServiceName& service) {
-    return spend_retry(state_, service, AttemptId(++last_attempt_), now_);
+    return spend_retry(state_, service, AttemptId(++last_attempt_), may_stray_,
+                       now_);
   }
   void spend_and_confirm(const ServiceName& service) {
     ASSERT_TRUE(spend(service));
@@ -32,10 +33,11 @@
   }
 
   std::uint64_t last_attempt_ = 0;
+  bool may_stray_ = false;
 };
 
-TEST_F(RetryBudgets, DuringAnOutageNoServiceGetsMoreThanItsBudget) {
-  lose_store();
+TEST_F(RetryBudgets, StrayRetriesGiveNoServiceMoreThanItsBudget) {
+  may_stray_ = true;
   EXPECT_TRUE(spend(kDesk));
   EXPECT_TRUE(spend(kDesk));
   spend_and_confirm(kDesk);
@@ -91,6 +93,36 @@
   EXPECT_EQ(spent(kBooking), 1u);
 }
 
+TEST_F(RetryBudgets, ServiceWithoutRequestsHasRoomForOneStrayRetry) {
+  state_.settings.retry_slack = 0;
+  state_.settings.retry_ratio = 0.5;
+  may_stray_ = true;
+  for (int i = 0; i < 9; ++i) count_request(state_, kDesk, now_);
+  EXPECT_TRUE(spend(kDesk));
+  EXPECT_FALSE(spend(kDesk));
+  confirm_retry(state_, kDesk, AttemptId(1));
+  EXPECT_TRUE(spend(kDesk));
+}
+
+TEST_F(RetryBudgets, RetryAtAServerThatAnsweredLatelyCannotStray) {
+  add("s1", kDesk);
+  add("s2", kDesk);
+  lose_store();
+  for (std::uint64_t id = 1; id <= 2; ++id) {
+    request(id, "/safe/x");
+    end(AttemptResult::kAnswered, 200);
+  }
+  request(3, "/safe/x");
+  end(AttemptResult::kAnswerLost);
+  EXPECT_EQ(spent(kDesk), 1u);
+  EXPECT_EQ(spent(kBooking), 0u);
+  end(AttemptResult::kAnswerLost);
+  now_ += state_.settings.address_reuse_delay;
+  request(4, "/safe/x");
+  end(AttemptResult::kAnswerLost);
+  EXPECT_EQ(spent(kBooking), 1u);
+}
+
 TEST_F(RetryBudgets, AnswerOfItsServerConfirmsARetry) {
   add("s1", kDesk);
   add("s2", kDesk);
