Limit a daemon that has just started to what the process before has left

A daemon uses 0.8 of its share of the budget, and for one window after its start 0.2, which the process before must have left. Both parts, of requests and of slack, count alike.

--- a/src/fleet/budget.cc
+++ b/src/fleet/budget.cc
@@ -9,6 +9,9 @@
 /// counts arrivals at the servers, which come later than the sends counted
 /// here.
 constexpr double kBudgetUseShare = 0.8;
+/// Part of that which a process uses in the window after its start: the one
+/// before may have used its own share up to kBudgetUseShare within it.
+constexpr double kStartUseShare = (1 - kBudgetUseShare) / kBudgetUseShare;
 
 void drop_old(std::deque<TimePoint>& times, TimePoint window_start) {
   while (!times.empty() && times.front() < window_start) times.pop_front();
@@ -34,24 +37,13 @@
   return count;
 }
 
-double full_slack_share(const State& state) {
+/// This daemon's share of the budget, as if it had been up for a window.
+double full_share(const State& state, const BudgetState& budget) {
   auto daemons = static_cast<double>(
       std::max<std::size_t>(1, state.fleet.daemon_records.size()));
-  return state.settings.retry_slack / daemons;
-}
-
-/// This daemon's share of the slack. For one window after its start it has
-/// none: the process before may have spent it, and not all daemons are known.
-double slack_share(const State& state, TimePoint now) {
-  bool just_started = now - state.started < state.settings.retry_window;
-  return just_started ? 0 : full_slack_share(state);
-}
-
-double allowed_retries(const State& state, const BudgetState& budget,
-                       double slack) {
   return kBudgetUseShare * (state.settings.retry_ratio *
                                 static_cast<double>(budget.requests.size()) +
-                            slack);
+                            state.settings.retry_slack / daemons);
 }
 
 /// Whether a retry for another service may be sent that may arrive at this one.
@@ -59,8 +51,7 @@
 bool has_room_for_stray(State& state, const ServiceName& service,
                         TimePoint now) {
   std::size_t spent = retry_budget(state, service, now).spent;
-  double allowed =
-      allowed_retries(state, state.budgets[service], full_slack_share(state));
+  double allowed = full_share(state, state.budgets[service]);
   return static_cast<double>(spent) < std::max(1.0, allowed);
 }
 
@@ -74,7 +65,9 @@
                          TimePoint now) {
   BudgetState& budget = state.budgets[service];
   drop_outdated(budget, now - state.settings.retry_window);
-  double allowed = allowed_retries(state, budget, slack_share(state, now));
+  double allowed = full_share(state, budget);
+  if (now - state.started < state.settings.retry_window)
+    allowed *= kStartUseShare;
   return {budget.retries.size() + unconfirmed_of_others(state, service, now),
           static_cast<std::size_t>(allowed)};
 }
--- a/src/fleet/budget.h
+++ b/src/fleet/budget.h
@@ -4,8 +4,8 @@
 #include "fleet/state.h"
 
 /// The retry budget of a service, which all daemons share. Each daemon has a
-/// fixed share of it, so that no retry needs a message: a part of its own
-/// requests, and of the slack, the latter from one window after its start.
+/// fixed share of it, so that no retry needs a message, and less of it in the
+/// window after its start.
 namespace eelgrasspin::fleet {
 
 void count_request(State& state, const ServiceName& service, TimePoint now);
--- a/tests/fleet_ownership_test.cc
+++ b/tests/fleet_ownership_test.cc
@@ -206,8 +206,8 @@
 
 /// Guards against forgetting a coordinator that was replaced two terms ago: it
 /// and a daemon that it goes on hearing are cut off from the store and the
-/// other daemons, and it goes on renewing the grants of a server that those
-/// cannot reach.
+/// other daemons, and it goes on renewing the grants of the only server that it
+/// reaches, and that those cannot reach.
 TEST(FleetOwnership, GrantsOfACoordinatorBeforeTheLastAreWaitedFor) {
   FleetWorld world(5, 4, 22);
   world.run_for(seconds(10));
@@ -234,6 +234,8 @@
     }
     return std::nullopt;
   };
+  for (std::size_t server : {0, 2, 3})
+    world.cut_from_servers.insert({*first, server});
   world.run_for(seconds(4));
   auto second = replacement();
   ASSERT_TRUE(second);
