Names of the displaced servers' marks and of the retry of a send

ServerState::shares_address is set for one of the two servers at an address only, the one that another has taken it from: address_taken. spend_retry() existed twice with different arguments: spend_retry_at() takes the server. The comment of unconfirmed retries leaves out those that have arrived elsewhere for sure. No change of behaviour.

--- a/src/fleet/dispatch.cc
+++ b/src/fleet/dispatch.cc
@@ -202,8 +202,8 @@
 
 /// Takes a retry for a send to the server, which has to follow; false if none
 /// is left.
-bool spend_retry(State& state, const RequestState& request,
-                 const ServerName& name, TimePoint now) {
+bool spend_retry_at(State& state, const RequestState& request,
+                    const ServerName& name, TimePoint now) {
   bool may_stray = may_be_displaced(state, state.servers.at(name), now);
   return spend_retry(state, request.service, AttemptId(state.next_attempt),
                      may_stray, now);
@@ -331,7 +331,7 @@
   }
   auto target = choose_server(state, request, now);
   if (const auto* name = std::get_if<ServerName>(&target)) {
-    if (request.sends > 0 && !spend_retry(state, request, *name, now)) {
+    if (request.sends > 0 && !spend_retry_at(state, request, *name, now)) {
       return refuse(state, request, "retry_budget_spent", now, effects);
     }
     return send(state, request, *name, now, effects);
@@ -394,7 +394,7 @@
   if (!due || !has_retry_left(state, request.service, now)) return;
   auto target = choose_server(state, request, now);
   const auto* name = std::get_if<ServerName>(&target);
-  if (name == nullptr || !spend_retry(state, request, *name, now)) return;
+  if (name == nullptr || !spend_retry_at(state, request, *name, now)) return;
   effects.emplace_back(CancelAttempt{request.attempt});
   auto server = state.servers.find(request.server);
   if (server != state.servers.end()) record_outcome(server->second, false, now);
--- a/src/fleet/displaced_servers.cc
+++ b/src/fleet/displaced_servers.cc
@@ -16,7 +16,7 @@
   ServerState& entry = found->second;
   if (entry.server.incarnation != server.incarnation || entry.displaced) return;
   entry.displaced = true;
-  mark_shared_addresses(state);
+  mark_taken_addresses(state);
   state.fleet.displaced_reports.emplace_back(now, server);
   log_event(effects, "server",
             {{"server", server.name.str()},
@@ -76,7 +76,7 @@
              server.alive_at + settings.address_reuse_delay;
 }
 
-void mark_shared_addresses(State& state) {
+void mark_taken_addresses(State& state) {
   std::unordered_map<Endpoint, Incarnation> last_started;
   for (const auto& [name, server] : state.servers) {
     if (!claims_address(state, server)) continue;
@@ -85,7 +85,7 @@
   }
   for (auto& [name, server] : state.servers) {
     auto last = last_started.find(server.server.address);
-    server.shares_address =
+    server.address_taken =
         last != last_started.end() && server.server.incarnation < last->second;
   }
 }
--- a/src/fleet/displaced_servers.h
+++ b/src/fleet/displaced_servers.h
@@ -30,7 +30,7 @@
                       TimePoint now);
 
 /// Marks the listed servers whose address another one has that started later.
-void mark_shared_addresses(State& state);
+void mark_taken_addresses(State& state);
 
 }  // namespace eelgrasspin::fleet
 
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -115,7 +115,7 @@
 void index_servers(State& state) {
   state.by_service.clear();
   state.by_distance.clear();
-  mark_shared_addresses(state);
+  mark_taken_addresses(state);
   for (const auto& [name, server] : state.servers) {
     if (server.removed) continue;
     state.by_service[server.server.service].push_back(name);
@@ -248,7 +248,7 @@
 
 bool accepts_work(const ServerState& server) {
   return !server.leaving && !server.removed && !server.announced_leaving &&
-         !server.displaced && !server.shares_address && !server.evacuated;
+         !server.displaced && !server.address_taken && !server.evacuated;
 }
 
 ServerIncarnation incarnation_of(const Server& server) {
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -65,13 +65,13 @@
   TimePoint blocked_until;
   /// This incarnation has announced in an answer that it is leaving.
   bool announced_leaving = false;
-  /// When the last request was sent that it has answered.
+  /// When the last request was sent that this incarnation has answered.
   TimePoint alive_at;
   /// An answer has shown that another server has the address of this
   /// incarnation, which has therefore ended.
   bool displaced = false;
   /// The registry lists a server that has started later at the same address.
-  bool shares_address = false;
+  bool address_taken = false;
   bool evacuated = false;  ///< An evacuation of its zone is ordered.
   ColdState cold;
   /// The server is sent no request until then, because of its Retry-After.
@@ -413,8 +413,8 @@
 struct BudgetState {
   std::deque<TimePoint> requests;
   std::deque<TimePoint> retries;
-  /// Those of the retries that may have arrived at a server of another service,
-  /// and when they were sent.
+  /// Retries that may have arrived at a server of another service, or have, and
+  /// when that became known.
   std::map<AttemptId, TimePoint> unconfirmed;
 };
 
--- a/src/fleet/store_view.cc
+++ b/src/fleet/store_view.cc
@@ -104,7 +104,7 @@
   }
   state.configuration = seen.configuration;
   index_regions(state);
-  mark_shared_addresses(state);
+  mark_taken_addresses(state);
   log_event(effects, "config_adopted",
             {{"version", text(next.version)},
              {"revision", text(seen.revision.value)},
