Do not take an entry of an earlier life of a server for its present one

A server that starts again under its name may be followed in the registry by a late entry of the life before. It replaced the later one: requests went to the former address, the keys were taken from a server that held them, and the release went to the former address, where the answer of another server counted as proof that the holder had ended. The next owner was then granted keys on which the holder still worked (OWNER). A daemon that has just started may know only the former entry. The class: what holds for a name taken for what holds for one life under it.

A previous owner is not asked for its keys at the address of an earlier incarnation; its grants are waited for. A lost owner's keys go without a wait only to a later incarnation of its name.

--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -266,6 +266,8 @@
         earlier(next, grants_end(state, coordinator_role, range, holder, now));
     auto server = state.servers.find(holder.name);
     if (lease.pending_order != 0 || server == state.servers.end()) continue;
+    // The entry shows where an earlier incarnation was.
+    if (server->second.server.incarnation < holder.incarnation) continue;
     if (now < lease.next_order_at) {
       next = earlier(next, lease.next_order_at);
     } else if (auto delay = order_delay(state, coordinator_role, holder.name,
--- a/src/fleet/registry.cc
+++ b/src/fleet/registry.cc
@@ -23,14 +23,31 @@
   server.leaving_since = now;
 }
 
+/// Whether the entry is of an incarnation before the known one, written late.
+bool is_of_earlier_life(const ServerState& known, const Server& listed) {
+  return listed.incarnation < known.server.incarnation;
+}
+
 /// Whether the entry shows the server as it was before something that is known
 /// of it, as a restored store does until the server writes again.
 bool is_outdated(const ServerState& known, const Server& listed) {
   if (listed.incarnation != known.server.incarnation)
-    return listed.incarnation < known.server.incarnation;
+    return is_of_earlier_life(known, listed);
   return known.leaving && !listed.draining;
 }
 
+void doubt_entry(State& state, ServerState& known, const Server& listed,
+                 TimePoint now, Effects& effects) {
+  if (!known.doubtful_entry) known.doubted_since = now;
+  known.doubtful_entry = listed;
+  state.servers_due = now;
+  log_event(effects, "server",
+            {{"server", listed.name.str()},
+             {"service", listed.service.str()},
+             {"state", "doubtful"},
+             {"incarnation", text(listed.incarnation.value)}});
+}
+
 /// Applies an entry. True if index_servers() has to be called.
 bool update_server(State& state, const Server& server, TimePoint now,
                    Effects& effects) {
@@ -157,15 +174,11 @@
   for (const Server& server : listed.servers) {
     present.insert(server.name);
     auto known = state.servers.find(server.name);
-    if (known != state.servers.end() && lists_outdated_entries(state, now) &&
-        is_outdated(known->second, server)) {
-      known->second.doubtful_entry = server;
-      state.servers_due = now;
-      log_event(effects, "server",
-                {{"server", server.name.str()},
-                 {"service", server.service.str()},
-                 {"state", "doubtful"},
-                 {"incarnation", text(server.incarnation.value)}});
+    if (known != state.servers.end() &&
+        (is_of_earlier_life(known->second, server) ||
+         (lists_outdated_entries(state, now) &&
+          is_outdated(known->second, server)))) {
+      doubt_entry(state, known->second, server, now, effects);
       continue;
     }
     update_server(state, server, now, effects);
@@ -188,6 +201,12 @@
   for (const ServerChange& change : changes) {
     if (last_changes.at(changed_server(change)) != &change) continue;
     if (const auto* server = std::get_if<Server>(&change)) {
+      auto known = state.servers.find(server->name);
+      if (known != state.servers.end() &&
+          is_of_earlier_life(known->second, *server)) {
+        doubt_entry(state, known->second, *server, now, effects);
+        continue;
+      }
       must_index = update_server(state, *server, now, effects) || must_index;
       continue;
     }
@@ -224,7 +243,8 @@
                  {"state", "gone"},
                  {"reason", "not_back_after_outage"}});
     }
-    if (entry.doubtful_entry && is_settled(state, StoreView::kServers, now)) {
+    if (entry.doubtful_entry && is_settled(state, StoreView::kServers, now) &&
+        now - entry.doubted_since >= outdated_entries_time(state.settings)) {
       Server listed = *entry.doubtful_entry;
       update_server(state, listed, now, effects);
       changed = true;
--- a/src/fleet/replan.cc
+++ b/src/fleet/replan.cc
@@ -255,7 +255,7 @@
     const ServerIncarnation& lost, const PlacementInput& input) {
   for (const PlacedServer& server : input.servers) {
     if (server.incarnation.name == lost.name &&
-        server.incarnation.incarnation != lost.incarnation) {
+        server.incarnation.incarnation > lost.incarnation) {
       return server.incarnation;
     }
   }
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -52,9 +52,11 @@
   bool removed = false;  ///< No longer in the registry.
   /// The entry expired around an outage of the store and may return until then.
   std::optional<TimePoint> may_return_until;
-  /// An entry in a restored store that contradicts what was known before. It
-  /// counts if the store still lists it some time after the restoration.
+  /// An entry of an earlier incarnation, or one in a restored store that
+  /// contradicts what was known before. It counts if the store still lists it
+  /// outdated_entries_time() later.
   std::optional<Server> doubtful_entry;
+  TimePoint doubted_since;
   std::uint32_t in_flight = 0;  ///< Requests of this daemon at the server.
   /// Bodies of this daemon's uploads at the server.
   std::size_t body_bytes = 0;
--- a/src/fleet/store_restoration.cc
+++ b/src/fleet/store_restoration.cc
@@ -6,16 +6,11 @@
 #include "fleet/ownership.h"
 
 namespace eelgrasspin::fleet {
-namespace {
-
-/// Time after a restoration in which entries may be out of date.
 Duration outdated_entries_time(const Settings& settings) {
   return config::kEntryExpiryCheckIns * settings.registry_check_in +
          config::kRegistryRecoveryTime;
 }
 
-}  // namespace
-
 StoreEra current_era(const State& state) {
   return state.store_era.value_or(StoreEra());
 }
--- a/src/fleet/store_restoration.h
+++ b/src/fleet/store_restoration.h
@@ -14,6 +14,9 @@
 void on_earlier_era(const State& state, const EarlierEraAnswered& answered,
                     Effects& effects);
 
+/// Time in which a server that is up writes its entry again, even around an
+/// outage of the store.
+Duration outdated_entries_time(const Settings& settings);
 /// Whether the store was restored so recently that it may still list entries
 /// which their writers have changed or removed since the copy was taken.
 bool lists_outdated_entries(const State& state, TimePoint now);
