Apply the answer of another server to an order to all requests

An order that another server answered proved that keys could be given on, but requests went on to the address until one of them was refused there, and a Connection: close of that answer counted as the addressed server's notice that it leaves.

The addressed incarnation is marked as displaced, as after a request; what the answer says besides does not count for it. OrderThatAnotherServerAnswersEndsItsRequests fails on the code before.

--- a/src/fleet/leases.cc
+++ b/src/fleet/leases.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "fleet/displaced_servers.h"
 #include "fleet/duration.h"
 #include "fleet/key_recall.h"
 #include "fleet/leases_p.h"
@@ -693,7 +694,11 @@
   auto taken = take_order(state.orders, ended.order);
   if (!taken) return;
   const Order& order = *taken;
-  on_server_notice(state, order.server, ended.notice, now, effects);
+  if (ended.result == OrderResult::kOtherServer) {
+    on_displaced(state, order.server, now, effects);
+  } else {
+    on_server_notice(state, order.server, ended.notice, now, effects);
+  }
   MapState& map = state.maps[order.service];
   Lease* lease = lease_of(map, order);
   if (lease != nullptr && lease->pending_order == ended.order) {
--- a/tests/outdated_entries_test.cc
+++ b/tests/outdated_entries_test.cc
@@ -123,5 +123,18 @@
   EXPECT_EQ(std::get<ReleaseKeys>(orders[0]).address, life("s1", 7).address);
 }
 
+TEST_F(OutdatedHolder, OrderThatAnotherServerAnswersEndsItsRequests) {
+  list("s1", 7);
+  list("s2", 8);
+  Effects orders = start_role();
+  ASSERT_EQ(orders.size(), 1u);
+  OrderEnded ended;
+  ended.order = std::get<ReleaseKeys>(orders[0]).order;
+  ended.result = OrderResult::kOtherServer;
+  apply(ended);
+  EXPECT_TRUE(state_.servers.at(ServerName("s1")).displaced);
+  EXPECT_FALSE(state_.servers.at(ServerName("s2")).displaced);
+}
+
 }  // namespace
 }  // namespace eelgrasspin::fleet
